--- /dev/null
+++ b/src/main/java/pathlane/Main.java
@@ -0,0 +1,61 @@
+package pathlane;
+
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.io.OutputStream;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
+import pathlane.config.NodeConfig;
+import pathlane.sim.Wire;
+
+/** Starts the program: {@code serve} is a real call controller, {@code simhost} speaks the simulator's wire. */
+public final class Main {
+
+    private Main() { }
+
+    /**
+     * Runs one of the two.
+     *
+     * @param args the one word {@code serve} or {@code simhost}
+     */
+    public static void main(String[] args) {
+        String what = args.length == 1 ? args[0] : "";
+        try {
+            switch (what) {
+                case "serve" -> serve();
+                case "simhost" -> simulate();
+                default -> {
+                    System.err.println("usage: java -jar pathlane.jar serve | simhost");
+                    System.exit(2);
+                }
+            }
+        } catch (Wire.Malformed | IllegalArgumentException | IOException e) {
+            System.err.println("pathlane: " + e.getMessage());
+            System.exit(1);
+        }
+    }
+
+    private static void serve() {
+        System.setProperty("java.util.logging.SimpleFormatter.format", "%1$tF %1$tT.%1$tL %4$s %3$s: %5$s%6$s%n");
+        String file = System.getenv("RELAY_CONFIG");
+        if (file == null) {
+            throw new IllegalArgumentException("RELAY_CONFIG does not name a configuration");
+        }
+        Node.start(NodeConfig.read(Path.of(file)));
+    }
+
+    private static void simulate() throws IOException {
+        BufferedReader in = new BufferedReader(new InputStreamReader(System.in, StandardCharsets.UTF_8));
+        OutputStream out = System.out;
+        Wire wire = new Wire();
+        for (String line = in.readLine(); line != null; line = in.readLine()) {
+            String reply = wire.line(line);
+            if (reply != null) {
+                out.write(reply.getBytes(StandardCharsets.UTF_8));
+                out.flush();
+            }
+        }
+        wire.end();
+    }
+}
--- /dev/null
+++ b/src/main/java/pathlane/config/NodeConfig.java
@@ -0,0 +1,74 @@
+package pathlane.config;
+
+import com.google.gson.JsonArray;
+import com.google.gson.JsonObject;
+import com.google.gson.JsonParser;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+
+/**
+ * What a real call controller finds in RELAY_CONFIG.
+ *
+ * @param seed for random numbers; new with each start
+ * @param bus the event bus, or null where there is none
+ * @param knownOffset the number of the last event in {@code knownEvents}
+ */
+public record NodeConfig(String name, InetSocketAddress listen, long seed, InetSocketAddress bus,
+                         long knownOffset, JsonArray knownEvents, Settings settings) {
+
+    private static final int HEX = 16;
+    private static final int MOST_PORT = 65_535;
+
+    /**
+     * Reads the file.
+     *
+     * @throws IllegalArgumentException with one plain sentence where it can't be used
+     */
+    public static NodeConfig read(Path file) {
+        String text;
+        try {
+            text = Files.readString(file);
+        } catch (IOException e) {
+            throw new IllegalArgumentException("the configuration " + file + " can't be read", e);
+        }
+        try {
+            return parse(text);
+        } catch (RuntimeException e) {
+            throw new IllegalArgumentException("the configuration " + file + " can't be used: " + e.getMessage(),
+                    e);
+        }
+    }
+
+    static NodeConfig parse(String text) {
+        JsonObject root = JsonParser.parseString(text).getAsJsonObject();
+        JsonObject known = SettingsReader.object(root, "known");
+        return new NodeConfig(text(root, "name"), address(text(root, "listen")),
+                Long.parseUnsignedLong(text(root, "seed"), HEX),
+                root.has("bus") ? address(text(root, "bus")) : null,
+                known.has("offset") ? known.get("offset").getAsLong() : 0, SettingsReader.array(known, "batch"),
+                SettingsReader.read(SettingsReader.object(root, "settings")));
+    }
+
+    private static String text(JsonObject from, String key) {
+        if (!from.has(key)) {
+            throw new IllegalArgumentException("'" + key + "' is missing");
+        }
+        return from.get(key).getAsString();
+    }
+
+    /** Reads {@code host:port}. */
+    public static InetSocketAddress address(String text) {
+        int colon = text.lastIndexOf(':');
+        try {
+            int port = Integer.parseInt(text.substring(colon + 1));
+            if (colon > 0 && port >= 0 && port <= MOST_PORT) {
+                return new InetSocketAddress(text.substring(0, colon), port);
+            }
+        } catch (NumberFormatException e) {
+            // said below
+        }
+        throw new IllegalArgumentException("'" + text + "' is not an address with a port");
+    }
+}
--- /dev/null
+++ b/src/main/java/pathlane/core/CallController.java
@@ -0,0 +1,461 @@
+package pathlane.core;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.function.Consumer;
+import java.util.function.Function;
+import pathlane.config.Millis;
+import pathlane.config.Settings;
+import pathlane.core.Counters.Name;
+import pathlane.decision.Gateway;
+import pathlane.decision.Gateway.Ending;
+import pathlane.decision.Gateway.Mode;
+import pathlane.decision.Logic;
+
+/**
+ * The life of every call, on one thread and without a wire: it owns the table of calls, the attempts and
+ * their timers, hands each event to the module, carries out the module's actions, and guards the rules.
+ *
+ * <p>A call is <em>open</em> until its one final answer, then <em>standing</em> until it is released, or gone.
+ */
+public final class CallController {
+
+    /** Makes the way to a server when the list first names it. */
+    public interface ServerPorts extends Function<ServerLine, ServerPort> { }
+
+    /** Added to the rule's wait after a give-up: the give-up may reach its server later than the resend. */
+    private static final Duration CLEAR_MARGIN = Duration.ofMillis(15);
+    /** What is over is remembered for so long: what a server or caller still says of it concerns nobody. */
+    private static final Duration OVER_MEMORY = Duration.ofSeconds(60);
+
+    private final Settings settings;
+    private final Scheduler scheduler;
+    private final ServerPorts ports;
+    private final Gateway module;
+    private final Counters counters = new Counters();
+    private final Map<String, Call> calls = new HashMap<>();
+    private final Map<Long, Server> servers = new TreeMap<>();
+    private final Map<String, Instant> over = new LinkedHashMap<>();
+    private final List<CallerPort> callers = new ArrayList<>();
+    private final Map<String, Ending> unrelayed = new LinkedHashMap<>();
+    private final ArrayDeque<Runnable> deferred = new ArrayDeque<>();
+    private boolean inModule;
+
+    private static final class Server {
+        final ServerPort port;
+        ServerLine line;
+
+        Server(ServerLine line, ServerPort port) {
+            this.line = line;
+            this.port = port;
+        }
+    }
+
+    private static final class Call {
+        final SetUp asked;
+        final Instant deadline;
+        CallerPort caller;
+        Scheduler.Timer guard;
+        int attempts;
+        /** Where its attempt is out, or where it stands; null between attempts. */
+        Server server;
+        Instant sentAt;
+        Instant notBefore = Instant.MIN;
+        Scheduler.Timer patience;
+        boolean standing;
+
+        Call(SetUp asked, Instant deadline, CallerPort caller) {
+            this.asked = asked;
+            this.deadline = deadline;
+            this.caller = caller;
+        }
+    }
+
+    public CallController(Settings settings, long seed, Scheduler scheduler, ServerPorts ports) {
+        this.settings = settings.withClearWait(settings.rules().clearWait().plus(CLEAR_MARGIN));
+        this.scheduler = scheduler;
+        this.ports = ports;
+        this.module = new Logic(this.settings, seed, new ModuleActions());
+    }
+
+    public Counters counters() {
+        return counters;
+    }
+
+    public Settings settings() {
+        return settings;
+    }
+
+    /** Calls that still wait for their final answer. */
+    public long openCalls() {
+        return calls.values().stream().filter(call -> !call.standing).count();
+    }
+
+    /** Calls that stand. */
+    public long standingCalls() {
+        return calls.size() - openCalls();
+    }
+
+    // ---- from callers
+
+    /** A caller can be reached; what found none to go to goes there. */
+    public void callerOpened(CallerPort caller) {
+        callers.add(caller);
+        unrelayed.forEach(caller::release);
+        unrelayed.clear();
+    }
+
+    /** A caller's connection has ended: its open set-ups are given up; calls that stand are tied to none. */
+    public void callerClosed(CallerPort caller) {
+        callers.remove(caller);
+        List<Call> left = calls.values().stream().filter(c -> c.caller == caller && !c.standing).toList();
+        left.forEach(this::leave);
+    }
+
+    /** A caller asks for a call; the final answer goes to the port. */
+    public void setUp(SetUp setUp, CallerPort caller) {
+        Call known = calls.get(setUp.id());
+        if (known != null) {
+            known.caller = known.standing ? known.caller : caller;   // sent once more after a crossing close
+            return;
+        }
+        counters.count(Name.SET_UPS);
+        Instant now = scheduler.now();
+        // The caller's wait runs from when it sent the set-up: what an own stall held up came earlier.
+        Duration left = setUp.patience().minus(scheduler.lag());
+        Call call = new Call(setUp, now.plus(left), caller);
+        calls.put(setUp.id(), call);
+        // Guards rule one whatever the module does: at the deadline an open call is answered.
+        call.guard = scheduler.after(left, () -> answerOverdue(call));
+        tell(at -> module.arrived(at, new Gateway.Call(setUp.id(), setUp.callClass(), setUp.number(),
+                Millis.of(left), setUp.firstChoice(), false)));
+    }
+
+    private void answerOverdue(Call call) {
+        if (calls.get(call.asked.id()) == call && !call.standing) {
+            counters.count(Name.GUARD_ANSWERED);
+            CallerPort caller = call.caller;
+            leave(call);
+            caller.refuse(call.asked.id(), Duration.ZERO);
+        }
+    }
+
+    /** A caller gives a set-up up, or releases a call that stands: which of the two, its state tells. */
+    public void callerReleased(String id) {
+        Call call = calls.get(id);
+        if (call == null) {
+            // A call from before this program's start: the server that has it is not known.
+            if (!over.containsKey(id)) {
+                servers.values().forEach(server -> server.port.release(id, Ending.COMPLETED));
+            }
+        } else if (call.standing) {
+            counters.count(Name.RELEASED_BY_CALLER);
+            remove(call);
+            call.server.port.release(id, Ending.COMPLETED);
+            report(call, Ending.CANCELLED, true);
+        } else {
+            leave(call);
+        }
+    }
+
+    /** The caller no longer waits: no answer is owed, and an attempt that is out is given up. */
+    private void leave(Call call) {
+        counters.count(Name.GIVEN_UP_BY_CALLER);
+        call.guard.cancel();
+        remove(call);
+        tell(at -> module.left(at, call.asked.id()));
+        if (call.server != null) {
+            giveUpAttempt(call);
+            report(call, Ending.CANCELLED, true);
+        }
+    }
+
+    // ---- from session servers
+
+    /** A server answered: the call stands there, unless its attempt was given up before. */
+    public void answered(long serverId, String id, byte[] description) {
+        Call call = calls.get(id);
+        Server server = servers.get(serverId);
+        if (call == null || call.standing || call.server != server) {
+            // Guards against a late answer of a given-up attempt: it holds the server's place for nobody.
+            if (server != null && (call == null || call.server != server)) {
+                counters.count(Name.LATE_ANSWERS);
+                server.port.release(id, Ending.CANCELLED);
+            }
+            return;
+        }
+        counters.count(Name.STOOD);
+        call.patience.cancel();
+        call.guard.cancel();
+        call.standing = true;
+        call.caller.answer(id, description);
+        double waited = Millis.of(Duration.between(call.sentAt, scheduler.now()));
+        tell(at -> module.stands(at, id, call.attempts - 1, serverId, waited));
+    }
+
+    /** A server released a call, before or after its answer; or its connection ended under a set-up. */
+    public void released(long serverId, String id, Ending how) {
+        Call call = calls.get(id);
+        Server server = servers.get(serverId);
+        if (call == null) {
+            if (!over.containsKey(id)) {
+                // A call from before this program's start: any caller's connection will do.
+                counters.count(Name.RELAYED_UNKNOWN);
+                relay(null, id, how);
+            }
+        } else if (call.server == server && call.standing) {
+            finishStanding(call, how == Ending.COMPLETED ? how : Ending.RESET);
+        } else if (call.server == server && server != null) {
+            call.patience.cancel();
+            report(call, how == Ending.COMPLETED ? Ending.ERROR : how, false);
+        }
+    }
+
+    /** A server's process is gone, and with it all calls that stood there. */
+    public void serverDied(long serverId) {
+        Server server = servers.get(serverId);
+        if (server != null) {
+            cutAll(server);
+        }
+    }
+
+    private void cutAll(Server server) {
+        List<Call> cut = calls.values().stream().filter(c -> c.standing && c.server == server).toList();
+        cut.forEach(call -> finishStanding(call, Ending.RESET));
+    }
+
+    /** Whether calls stand at a server. */
+    public boolean standsAt(long serverId) {
+        Server server = servers.get(serverId);
+        return server != null && calls.values().stream().anyMatch(c -> c.standing && c.server == server);
+    }
+
+    private void finishStanding(Call call, Ending how) {
+        counters.count(how == Ending.COMPLETED ? Name.RELEASED_BY_SERVER : Name.CUT);
+        remove(call);
+        relay(call.caller, call.asked.id(), how);
+        report(call, how, true);
+    }
+
+    /** Releases towards the call's own connection, else any, else the next that opens. */
+    private void relay(CallerPort own, String id, Ending how) {
+        if (callers.contains(own)) {
+            own.release(id, how);
+        } else if (!callers.isEmpty()) {
+            callers.get(callers.size() - 1).release(id, how);
+        } else {
+            unrelayed.put(id, how);
+        }
+    }
+
+    // ---- the list of servers
+
+    /** The list arrived: the whole of it, or the changed lines alone. */
+    public void listed(boolean whole, List<ServerLine> lines) {
+        // The module hears of the change before anything comes back from it, or it would choose the same again.
+        List<Runnable> consequences = new ArrayList<>();
+        if (whole) {
+            Set<Long> named = new HashSet<>();
+            lines.forEach(line -> named.add(line.id()));
+            servers.values().stream().filter(s -> !named.contains(s.line.id()))
+                    .forEach(server -> goneFromList(server, consequences));
+        }
+        List<Gateway.Listed> told = new ArrayList<>();
+        for (ServerLine line : lines) {
+            told.add(new Gateway.Listed(line.id(), line.cell(), line.mode(),
+                    line.startedAt().equals(Instant.EPOCH) ? 0 : Millis.of(line.startedAt()), line.weight()));
+            change(line, consequences);
+        }
+        tell(at -> module.listed(at, whole, told));
+        consequences.forEach(Runnable::run);
+    }
+
+    private void change(ServerLine line, List<Runnable> consequences) {
+        Server server = servers.get(line.id());
+        boolean moved = server != null && !server.line.address().equals(line.address());
+        if (server != null && line.startedAt().isAfter(server.line.startedAt())) {
+            Server restarted = server;
+            consequences.add(() -> cutAll(restarted));   // what stood at the old process went with it
+        }
+        if (server != null && (server.line.mode() == Mode.GONE || moved)) {
+            goneFromList(server, consequences);
+            servers.remove(line.id());
+            server = null;
+        }
+        if (server == null) {
+            if (line.mode() == Mode.GONE) {
+                return;
+            }
+            server = new Server(line, ports.apply(line));
+            servers.put(line.id(), server);
+        }
+        server.line = line;
+        if (line.mode() == Mode.GONE) {
+            goneFromList(server, consequences);
+        } else if (line.mode() == Mode.DRAINING) {
+            consequences.add(server.port::drain);
+        }
+    }
+
+    /** Guards against calls left standing at a machine that went without a word. */
+    private void goneFromList(Server server, List<Runnable> consequences) {
+        ServerLine line = server.line;
+        server.line = new ServerLine(line.id(), line.address(), Mode.GONE, line.cell(), line.weight(),
+                line.startedAt());
+        consequences.add(() -> {
+            server.port.close();
+            cutAll(server);
+        });
+    }
+
+    // ---- the module
+
+    /** Hands the module an event; what its actions bring about is handed over after it, never within. */
+    private void tell(Consumer<Double> event) {
+        deferred.add(() -> event.accept(Millis.of(scheduler.now())));
+        if (inModule) {
+            return;
+        }
+        inModule = true;
+        try {
+            for (Runnable next = deferred.poll(); next != null; next = deferred.poll()) {
+                next.run();
+            }
+        } finally {
+            inModule = false;
+        }
+    }
+
+    /** Tells the module how the call's attempt ended; the call is then free for another. */
+    private void report(Call call, Ending how, boolean closed) {
+        Server server = call.server;
+        call.server = null;
+        if (!call.standing) {
+            counters.count(switch (how) {
+                case TIMED_OUT -> Name.ATTEMPTS_TIMED_OUT;
+                case CANCELLED -> Name.ATTEMPTS_CANCELLED;
+                case REJECTED, NO_FREE_LINE -> Name.ATTEMPTS_TURNED_AWAY;
+                case UNREACHABLE -> Name.ATTEMPTS_UNREACHABLE;
+                case RESET -> Name.ATTEMPTS_RESET;
+                case NOT_SENT -> Name.ATTEMPTS_NOT_SENT;
+                default -> Name.ATTEMPTS_IN_ERROR;
+            });
+        }
+        if (how == Ending.TIMED_OUT || how == Ending.RESET || how == Ending.CANCELLED) {
+            call.notBefore = scheduler.now().plus(settings.rules().clearWait().minus(CLEAR_MARGIN));
+        }
+        double waited = Millis.of(Duration.between(call.sentAt, scheduler.now()));
+        int attempt = call.attempts - 1;
+        tell(at -> module.ended(at, new Gateway.Ended(call.asked.id(), attempt, server.line.id(), how, closed,
+                waited, 0, null)));
+    }
+
+    private void giveUpAttempt(Call call) {
+        call.patience.cancel();
+        call.server.port.giveUp(call.asked.id());
+    }
+
+    /** Takes a call off the table; it is remembered as over for a while. */
+    private void remove(Call call) {
+        calls.remove(call.asked.id());
+        Instant now = scheduler.now();
+        for (Iterator<Instant> old = over.values().iterator();
+                old.hasNext() && old.next().plus(OVER_MEMORY).isBefore(now); ) {
+            old.remove();
+        }
+        over.put(call.asked.id(), now);
+    }
+
+    /** Carries out what the module asks for. */
+    private final class ModuleActions implements Gateway.Actions {
+
+        @Override
+        public void send(String id, long serverId, double giveUpAfterMs) {
+            Call call = calls.get(id);
+            if (call == null) {
+                return;   // its end was reported, and waits for its turn
+            }
+            Server server = servers.get(serverId);
+            Instant now = scheduler.now();
+            int attempt = call.attempts++;
+            // Guards the rules whatever the module does: one attempt at a time, none too soon, none too many,
+            // none to a server that drains or is gone.
+            if (call.standing || call.server != null || now.isBefore(call.notBefore)
+                    || attempt >= settings.maxAttempts() || server == null
+                    || server.line.mode() != Mode.RUNNING) {
+                counters.count(Name.GUARD_NOT_SENT);
+                tell(at -> module.ended(at, new Gateway.Ended(id, attempt, serverId, Ending.NOT_SENT, false, 0,
+                        0, null)));
+                return;
+            }
+            counters.count(Name.ATTEMPTS);
+            Duration left = Duration.between(now, call.deadline);
+            Duration patience = giveUpAfterMs > 0 ? Millis.span(giveUpAfterMs) : left;
+            patience = patience.compareTo(left) < 0 ? patience : left;
+            call.server = server;
+            call.sentAt = now;
+            call.patience = scheduler.after(patience, () -> timedOut(call, attempt));
+            server.port.setUp(call.asked, patience);
+        }
+
+        private void timedOut(Call call, int attempt) {
+            if (call.server != null && !call.standing && call.attempts - 1 == attempt) {
+                giveUpAttempt(call);
+                report(call, Ending.TIMED_OUT, false);
+            }
+        }
+
+        @Override
+        public void refuse(String id, double adviseMs) {
+            finish(id, Name.REFUSED, caller -> caller.refuse(id, Millis.span(adviseMs)));
+        }
+
+        @Override
+        public void fail(String id) {
+            finish(id, Name.FAILED, caller -> caller.fail(id));
+        }
+
+        /** The one place where the module's final answers leave; a call that is not open has had its own. */
+        private void finish(String id, Name counted, Consumer<CallerPort> answer) {
+            Call call = calls.get(id);
+            if (call != null && !call.standing) {
+                counters.count(counted);
+                call.guard.cancel();
+                if (call.server != null) {
+                    giveUpAttempt(call);
+                }
+                remove(call);
+                answer.accept(call.caller);
+            }
+        }
+
+        @Override
+        public void cancel(String id, int attempt) {
+            Call call = calls.get(id);
+            if (call != null && !call.standing && call.server != null && call.attempts - 1 == attempt) {
+                giveUpAttempt(call);
+                report(call, Ending.CANCELLED, false);
+            }
+        }
+
+        @Override
+        public void wakeAfter(double delayMs) {
+            scheduler.after(Millis.span(delayMs), () -> tell(module::woken));
+        }
+
+        @Override
+        public void askForList() {
+            // The list is pushed here; there is nobody to ask.
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/pathlane/core/CallerPort.java
@@ -0,0 +1,20 @@
+package pathlane.core;
+
+import java.time.Duration;
+import pathlane.decision.Gateway.Ending;
+
+/** The way back to whoever asked for a call. */
+public interface CallerPort {
+
+    /** The call stands; the description is the session server's, unchanged. */
+    void answer(String call, byte[] description);
+
+    /** Turned away: trying again is harmless, after a wait where one is advised. */
+    void refuse(String call, Duration comeBackAfter);
+
+    /** It failed. */
+    void fail(String call);
+
+    /** A call that stood is over. */
+    void release(String call, Ending how);
+}
--- /dev/null
+++ b/src/main/java/pathlane/core/ConnectionEnd.java
@@ -0,0 +1,47 @@
+package pathlane.core;
+
+import pathlane.decision.Gateway.Ending;
+
+/** Every way in which a connection can end, and what that means for a set-up it had taken whole. */
+public enum ConnectionEnd {
+    /** Nobody listens there: nothing ran. */
+    REFUSED(Ending.UNREACHABLE),
+    /** It did not come up in time: nothing ran. */
+    DIAL_TIMED_OUT(Ending.UNREACHABLE),
+    /** It could not be tried, for want of a descriptor or a route: nothing ran. */
+    NOT_DIALLED(Ending.UNREACHABLE),
+    /** The other side closed it in order. */
+    CLOSED_BY_PEER(Ending.RESET),
+    /** It broke: the other side's process died, or the path did. */
+    RESET(Ending.RESET),
+    /** The other side sent what can't be read. */
+    BAD_INPUT(Ending.RESET),
+    /** The other side stopped reading and more waits to be written than is allowed. */
+    OVERFLOW(Ending.RESET),
+    /** We closed it: nothing was on it for long enough. */
+    IDLE(Ending.RESET),
+    /** We closed it: its watchdogs stayed unanswered. */
+    WATCHDOG_LOST(Ending.RESET),
+    /** The peers agreed to part. */
+    DISCONNECTED(Ending.RESET),
+    /** We closed it: the server has gone from the list. */
+    DELISTED(Ending.RESET),
+    /** We closed it: this program is ending. */
+    SHUTDOWN(Ending.RESET);
+
+    private final Ending outcome;
+
+    ConnectionEnd(Ending outcome) {
+        this.outcome = outcome;
+    }
+
+    /** The module's outcome for an attempt that this end broke off. */
+    public Ending outcome() {
+        return outcome;
+    }
+
+    /** Whether the other side's process has shown that it isn't there: calls that stood on it are cut. */
+    public boolean provesProcessGone() {
+        return this == REFUSED;
+    }
+}
--- /dev/null
+++ b/src/main/java/pathlane/core/ServerPort.java
@@ -0,0 +1,23 @@
+package pathlane.core;
+
+import java.time.Duration;
+import pathlane.decision.Gateway.Ending;
+
+/** The way to one session server. What it says comes back through {@link CallController}. */
+public interface ServerPort {
+
+    /** Sends a set-up; {@code patience} is how long it will be waited for. */
+    void setUp(SetUp setUp, Duration patience);
+
+    /** A set-up is given up: nothing that comes for it counts any more. */
+    void giveUp(String call);
+
+    /** A call that stands there is released. */
+    void release(String call, Ending how);
+
+    /** The server takes nothing new: what has not left yet comes back, what runs goes on. */
+    void drain();
+
+    /** The server has gone from the list: everything towards it ends. */
+    void close();
+}
--- a/src/main/java/harrierloft/Gateway.java
+++ b/src/main/java/pathlane/decision/Gateway.java
@@ -1,4 +1,4 @@
-package harrierloft;
+package pathlane.decision;
 
 import java.util.List;
 
@@ -9,43 +9,6 @@
  */
 public interface Gateway {
 
-    /** A class of call: how soon it should stand, how long a caller tries, and what it is worth. */
-    record CallClass(double aimMs, double deadlineMs, double worth, double lateWorth, int width,
-                     boolean repeatable, List<Integer> allowedPools) {
-        public CallClass {
-            require(aimMs > 0, "aim");
-            require(deadlineMs > 0, "deadline");
-            require(width > 0, "width");
-        }
-    }
-
-    /** The figures of the cold-start, drain and release rules. */
-    record Rules(double coldFrom, double coldMs, double fallMultiple, double fallMs, double clearWaitMs) {
-        public Rules {
-            require(coldFrom > 0, "cold-from");
-            require(coldMs >= 0, "cold-ms");
-            require(fallMultiple > 0, "fall-multiple");
-            require(fallMs > 0, "fall-ms");
-            require(clearWaitMs >= 0, "clear wait");
-        }
-    }
-
-    /** What the gateway is told once, when it starts. An absent figure that has no sense is nought. */
-    record Settings(List<CallClass> classes, Rules rules, int balancers, int maxAttempts, double tickMs,
-                    double repeatMs, boolean mayCancel, boolean mustAsk, int ownNumber) {
-        public Settings {
-            require(!classes.isEmpty(), "classes");
-            require(balancers > 0, "balancers");
-            require(maxAttempts > 0, "max attempts");
-        }
-    }
-
-    private static void require(boolean held, String name) {
-        if (!held) {
-            throw new IllegalArgumentException("setting can't be used: " + name);
-        }
-    }
-
     /** Whether a core server takes new set-ups, finishes its work, or is gone. */
     enum Mode { RUNNING, DRAINING, GONE }
 
--- a/src/main/java/harrierloft/Logic.java
+++ b/src/main/java/pathlane/decision/Logic.java
@@ -1,4 +1,4 @@
-package harrierloft;
+package pathlane.decision;
 
 import java.util.ArrayDeque;
 import java.util.ArrayList;
@@ -11,6 +11,9 @@
 import java.util.TreeMap;
 import java.util.function.DoubleUnaryOperator;
 import java.util.stream.IntStream;
+import pathlane.config.Settings;
+import pathlane.config.Settings.CallClass;
+import pathlane.config.Settings.Rules;
 
 /**
  * All decisions of a gateway; its interface (settings, events, actions) is in Gateway.java.
--- a/src/main/java/harrierloft/Rate.java
+++ b/src/main/java/pathlane/decision/Rate.java
@@ -1,4 +1,4 @@
-package harrierloft;
+package pathlane.decision;
 
 /** How often something lately happened: events a millisecond, fading over a span. */
 final class Rate {
--- /dev/null
+++ b/src/main/java/pathlane/link/Protocol.java
@@ -0,0 +1,20 @@
+package pathlane.link;
+
+import java.nio.ByteBuffer;
+import pathlane.core.ConnectionEnd;
+
+/**
+ * A protocol's state machine for one connection. It is fed bytes and knows no socket; a driver feeds it, on
+ * the event loop's thread.
+ */
+public interface Protocol {
+
+    /** The connection is up. */
+    void opened(Connection connection);
+
+    /** Bytes came, in pieces of any size. */
+    void received(ByteBuffer bytes);
+
+    /** The connection has ended or never came up; called once, and last. */
+    void closed(ConnectionEnd end);
+}
--- /dev/null
+++ b/src/main/java/pathlane/net/Driver.java
@@ -0,0 +1,89 @@
+package pathlane.net;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import java.io.IOException;
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
+import pathlane.core.ConnectionEnd;
+import pathlane.link.Connection;
+import pathlane.link.Protocol;
+
+/** Reads and writes for one connection's state machine; knows no protocol. */
+final class Driver extends ChannelInboundHandlerAdapter implements Connection {
+
+    private static final Logger LOG = System.getLogger("net");
+    /** More than this waiting to be written means that the other side has stopped reading. */
+    private static final long MOST_UNWRITTEN = 1 << 20;
+
+    private final Protocol protocol;
+    private Channel channel;
+    private ConnectionEnd end;
+
+    Driver(Protocol protocol) {
+        this.protocol = protocol;
+    }
+
+    @Override
+    public void channelActive(ChannelHandlerContext context) {
+        channel = context.channel();
+        protocol.opened(this);
+    }
+
+    @Override
+    public void channelRead(ChannelHandlerContext context, Object message) {
+        ByteBuf bytes = (ByteBuf) message;
+        try {
+            if (end == null) {
+                protocol.received(bytes.nioBuffer());
+            }
+        } finally {
+            bytes.release();
+        }
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext context) {
+        protocol.closed(end == null ? ConnectionEnd.CLOSED_BY_PEER : end);
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+        if (!(cause instanceof IOException)) {
+            // Guards the process against one connection: a fault in its handling ends that connection alone.
+            LOG.log(Level.ERROR, "fault while serving " + remote(), cause);
+        }
+        end = end == null ? ConnectionEnd.RESET : end;
+        context.close();
+    }
+
+    @Override
+    public void write(byte[] bytes) {
+        if (end != null) {
+            return;
+        }
+        channel.writeAndFlush(Unpooled.wrappedBuffer(bytes)).addListener(ChannelFutureListener.FIRE_EXCEPTION_ON_FAILURE);
+        if (channel.unsafe().outboundBuffer() != null
+                && channel.unsafe().outboundBuffer().totalPendingWriteBytes() > MOST_UNWRITTEN) {
+            end = ConnectionEnd.OVERFLOW;
+            channel.close();
+        }
+    }
+
+    @Override
+    public void close(ConnectionEnd why) {
+        if (end == null) {
+            end = why;
+            channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
+        }
+    }
+
+    @Override
+    public String remote() {
+        return String.valueOf(channel == null ? null : channel.remoteAddress());
+    }
+}
--- /dev/null
+++ b/src/main/java/pathlane/platform/BadInput.java
@@ -0,0 +1,10 @@
+package pathlane.platform;
+
+/** Bytes that break the protocol; the message says how, and the connection they came on ends. */
+final class BadInput extends RuntimeException {
+    private static final long serialVersionUID = 1L;
+
+    BadInput(String message) {
+        super(message);
+    }
+}
--- /dev/null
+++ b/src/main/java/pathlane/platform/BusFeed.java
@@ -0,0 +1,119 @@
+package pathlane.platform;
+
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
+import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
+import java.time.Duration;
+import java.util.function.Consumer;
+import pathlane.core.ConnectionEnd;
+import pathlane.core.Scheduler;
+import pathlane.link.Connection;
+import pathlane.link.Dialer;
+import pathlane.link.Protocol;
+
+/** Follows the event bus from the last event on, over as many connections as it takes. */
+public final class BusFeed {
+
+    private static final Logger LOG = System.getLogger("bus");
+    private static final int LENGTH_BYTES = 4;
+    private static final int HEAD = 9;
+    private static final int LONGEST = 16 * 1024 * 1024;
+    private static final int NOTHING_NEW = 0;
+    private static final int WHOLE = 1;
+    private static final int CHANGES = 2;
+    private static final Duration DIAL_TIMEOUT = Duration.ofMillis(500);
+    private static final Duration REDIAL = Duration.ofMillis(200);
+    /** The bus says something each second; an event counts as told 7 s on, whether it arrived or not. */
+    private static final Duration MOST_SILENCE = Duration.ofMillis(2500);
+
+    private final InetSocketAddress bus;
+    private final Dialer dialer;
+    private final Scheduler scheduler;
+    private final Consumer<ServerList> events;
+    private long last;
+    private boolean wasUp;
+
+    /** {@code last} is the number of the last event that is known. */
+    public BusFeed(InetSocketAddress bus, long last, Dialer dialer, Scheduler scheduler,
+                   Consumer<ServerList> events) {
+        this.bus = bus;
+        this.last = last;
+        this.dialer = dialer;
+        this.scheduler = scheduler;
+        this.events = events;
+    }
+
+    public void start() {
+        dialer.dial(bus, DIAL_TIMEOUT, new Session());
+    }
+
+    private final class Session implements Protocol {
+
+        private final FrameAssembler assembler = new FrameAssembler(LENGTH_BYTES, HEAD, LONGEST);
+        private Connection connection;
+        private Scheduler.Timer silence;
+
+        @Override
+        public void opened(Connection up) {
+            connection = up;
+            wasUp = true;
+            LOG.log(Level.INFO, "event bus is up, from event {0}", Long.toString(last));
+            up.write(ByteBuffer.allocate(Long.BYTES).putLong(last).array());
+            await();
+        }
+
+        /** Guards against a bus that went without a word: nothing would ever tell. */
+        private void await() {
+            silence = scheduler.after(MOST_SILENCE, () -> connection.close(ConnectionEnd.WATCHDOG_LOST));
+        }
+
+        @Override
+        public void received(ByteBuffer bytes) {
+            silence.cancel();
+            await();
+            try {
+                assembler.feed(bytes, this::frame);
+            } catch (BadInput e) {
+                LOG.log(Level.WARNING, "event bus closed for bad input: {0}", e.getMessage());
+                bytes.position(bytes.limit());
+                connection.close(ConnectionEnd.BAD_INPUT);
+            }
+        }
+
+        private void frame(ByteBuffer frame) {
+            long number = frame.getLong();
+            int kind = frame.get() & 0xff;
+            if (kind == NOTHING_NEW) {
+                return;
+            }
+            if (kind != WHOLE && kind != CHANGES) {
+                throw new BadInput("an event of kind " + kind);
+            }
+            if (Long.compareUnsigned(number, last) <= 0) {
+                return;   // had it before
+            }
+            if (kind == CHANGES && number != last + 1) {
+                // Guards against a list with a hole in it: the missing events are asked for again.
+                throw new BadInput("event " + number + " after " + last);
+            }
+            last = number;
+            ServerList list = ServerList.read(kind == WHOLE, frame);
+            list.lines().forEach(line -> LOG.log(Level.INFO, "event {0}: server {1} at {2} is {3}",
+                    Long.toString(number), ServerLink.serverName(line.id()), line.address(), line.mode()));
+            events.accept(list);
+        }
+
+        @Override
+        public void closed(ConnectionEnd end) {
+            if (silence != null) {
+                silence.cancel();
+            }
+            if (wasUp) {
+                LOG.log(Level.WARNING, "event bus is down: {0}; dialling again", end);
+            }
+            wasUp = false;
+            scheduler.after(REDIAL, BusFeed.this::start);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/pathlane/platform/Cause.java
@@ -0,0 +1,36 @@
+package pathlane.platform;
+
+import pathlane.decision.Gateway.Ending;
+
+/** The causes of releases and what they mean to the module, both ways. */
+final class Cause {
+
+    static final int OVER = 16;
+    static final int FAILED = 31;
+    static final int CUT = 41;
+    static final int TURNED_AWAY = 42;
+
+    private static final int BUSY = 17;
+    private static final int FULL = 34;
+    private static final int OUT_OF_ORDER = 47;
+    private static final int NOT_SENT = 102;
+
+    private Cause() { }
+
+    /** How an attempt or a standing call ended, from a session server's release. */
+    static Ending ending(int cause, String note) {
+        return switch (cause) {
+            case FULL -> note.equals("no_path") ? Ending.NO_FREE_LINE : Ending.REJECTED;
+            case BUSY, OUT_OF_ORDER -> note.equals("line_taken") ? Ending.ENGAGED : Ending.ERROR;
+            case NOT_SENT -> Ending.NOT_SENT;
+            case CUT -> Ending.RESET;
+            case OVER -> Ending.COMPLETED;
+            default -> Ending.ERROR;
+        };
+    }
+
+    /** The cause of a release of a call that stood. */
+    static int ofRelease(Ending how) {
+        return how == Ending.RESET ? CUT : OVER;
+    }
+}
--- /dev/null
+++ b/src/main/java/pathlane/platform/ServerLink.java
@@ -0,0 +1,212 @@
+package pathlane.platform;
+
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
+import java.nio.ByteBuffer;
+import java.time.Duration;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Supplier;
+import pathlane.config.Settings;
+import pathlane.core.CallController;
+import pathlane.core.ConnectionEnd;
+import pathlane.core.Scheduler;
+import pathlane.core.ServerLine;
+import pathlane.core.ServerPort;
+import pathlane.core.SetUp;
+import pathlane.decision.Gateway.Ending;
+import pathlane.link.Connection;
+import pathlane.link.Dialer;
+import pathlane.link.Protocol;
+
+/**
+ * The way to one session server: one connection that many calls share, dialled when the server is first
+ * listed and again when it is needed.
+ */
+public final class ServerLink implements ServerPort {
+
+    private static final Logger LOG = System.getLogger("servers");
+    private static final Duration REDIAL_FIRST = Duration.ofMillis(100);
+    private static final Duration REDIAL_MOST = Duration.ofSeconds(1);
+
+    private final ServerLine server;
+    private final String name;
+    private final Settings settings;
+    private final Supplier<CallController> controller;
+    private final Dialer dialer;
+    private final Scheduler scheduler;
+    /** Set-ups and releases that wait for the connection. */
+    private final Map<String, byte[]> waitingSetUps = new LinkedHashMap<>();
+    private final Map<String, byte[]> waitingReleases = new LinkedHashMap<>();
+    /** Set-ups written and not yet at an end. */
+    private final Set<String> out = new LinkedHashSet<>();
+    private Duration redial = REDIAL_FIRST;
+    private Session session;
+    private boolean closed;
+
+    /** The controller is asked for late: it makes its ports itself. */
+    public ServerLink(ServerLine server, Settings settings, Supplier<CallController> controller, Dialer dialer,
+                      Scheduler scheduler) {
+        this.server = server;
+        this.name = serverName(server.id());
+        this.settings = settings;
+        this.controller = controller;
+        this.dialer = dialer;
+        this.scheduler = scheduler;
+        dial();
+    }
+
+    /** How ids of session servers stand in text. */
+    public static String serverName(long id) {
+        return String.format("s-%08x", id);
+    }
+
+    private void dial() {
+        if (session == null && !closed) {
+            session = new Session();
+            dialer.dial(server.address(), settings.dialTimeout(), session);
+        }
+    }
+
+    private boolean up() {
+        return session != null && session.connection != null;
+    }
+
+    @Override
+    public void setUp(SetUp setUp, Duration patience) {
+        byte[] bytes = new Message(Message.SET_UP, setUp.id())
+                .with(Message.CLASS, settings.classes().get(setUp.callClass()).name())
+                .with(Message.PATIENCE, Long.toString(Math.max(1, patience.toMillis())))
+                .with(Message.NUMBER, setUp.number())
+                .with(Message.DESCRIPTION, setUp.description()).bytes();
+        if (up()) {
+            out.add(setUp.id());
+            session.connection.write(bytes);
+        } else {
+            waitingSetUps.put(setUp.id(), bytes);
+            dial();
+        }
+    }
+
+    @Override
+    public void giveUp(String call) {
+        if (waitingSetUps.remove(call) == null && out.remove(call) && up()) {
+            session.connection.write(new Message(Message.RELEASE, call).withCause(Cause.OVER).bytes());
+        }
+    }
+
+    @Override
+    public void release(String call, Ending how) {
+        byte[] bytes = new Message(Message.RELEASE, call).withCause(Cause.ofRelease(how)).bytes();
+        if (up()) {
+            session.connection.write(bytes);
+        } else {
+            waitingReleases.put(call, bytes);
+            dial();
+        }
+    }
+
+    @Override
+    public void drain() {
+        endWaiting();
+    }
+
+    /** What never left is free to go elsewhere at once. */
+    private void endWaiting() {
+        List<String> ended = List.copyOf(waitingSetUps.keySet());
+        waitingSetUps.clear();
+        ended.forEach(call -> controller.get().released(server.id(), call, Ending.UNREACHABLE));
+    }
+
+    @Override
+    public void close() {
+        closed = true;
+        waitingReleases.clear();
+        if (up()) {
+            session.connection.close(ConnectionEnd.DELISTED);
+        }
+        endAll(ConnectionEnd.DELISTED);
+    }
+
+    private void endAll(ConnectionEnd end) {
+        endWaiting();
+        List<String> broken = List.copyOf(out);
+        out.clear();
+        broken.forEach(call -> controller.get().released(server.id(), call, end.outcome()));
+    }
+
+    /** One connection to the server. */
+    private final class Session implements Protocol {
+
+        private final FrameAssembler assembler = Message.assembler();
+        private Connection connection;
+
+        @Override
+        public void opened(Connection up) {
+            if (closed) {
+                up.close(ConnectionEnd.DELISTED);
+                return;
+            }
+            connection = up;
+            redial = REDIAL_FIRST;
+            LOG.log(Level.INFO, "server {0} at {1} is up", name, up.remote());
+            waitingReleases.values().forEach(up::write);
+            waitingReleases.clear();
+            out.addAll(waitingSetUps.keySet());
+            waitingSetUps.values().forEach(up::write);
+            waitingSetUps.clear();
+        }
+
+        @Override
+        public void received(ByteBuffer bytes) {
+            try {
+                assembler.feed(bytes, frame -> message(Message.read(frame)));
+            } catch (BadInput e) {
+                LOG.log(Level.WARNING, "server {0} closed for bad input: {1}", name, e.getMessage());
+                bytes.position(bytes.limit());
+                connection.close(ConnectionEnd.BAD_INPUT);
+            }
+        }
+
+        private void message(Message message) {
+            String call = message.id();
+            switch (message.type) {
+                case Message.ANSWER -> {
+                    out.remove(call);
+                    byte[] description = message.value(Message.DESCRIPTION);
+                    controller.get().answered(server.id(), call, description == null ? new byte[0] : description);
+                }
+                case Message.RELEASE -> {
+                    out.remove(call);
+                    controller.get().released(server.id(), call,
+                            Cause.ending(message.cause(), message.text(Message.NOTE)));
+                }
+                case Message.PROGRESS, Message.RELEASE_HEARD, Message.TEST_RESULT -> { }
+                case Message.GROUP_STATE -> LOG.log(Level.INFO, "server {0} group state {1}", name, message);
+                default -> throw new BadInput("a message of type " + message.type);
+            }
+        }
+
+        @Override
+        public void closed(ConnectionEnd end) {
+            session = session == this ? null : session;
+            if (closed) {
+                return;
+            }
+            LOG.log(Level.INFO, "server {0} is down: {1}", name, end);
+            endAll(end);
+            if (end.provesProcessGone()) {
+                // Guards against calls that stood at a process that died: nobody is left to release them.
+                controller.get().serverDied(server.id());
+            }
+            if (controller.get().standsAt(server.id()) || !waitingReleases.isEmpty()) {
+                // What concerns standing calls may come on the next connection.
+                scheduler.after(redial, ServerLink.this::dial);
+                redial = redial.multipliedBy(2).compareTo(REDIAL_MOST) < 0 ? redial.multipliedBy(2) : REDIAL_MOST;
+            }
+        }
+    }
+}
--- a/src/main/java/harrierloft/Wire.java
+++ b/src/main/java/pathlane/sim/Wire.java
@@ -1,7 +1,5 @@
-package harrierloft;
+package pathlane.sim;
 
-import com.google.gson.JsonArray;
-import com.google.gson.JsonElement;
 import com.google.gson.JsonObject;
 import com.google.gson.JsonParseException;
 import com.google.gson.JsonParser;
@@ -9,9 +7,12 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import pathlane.config.SettingsReader;
+import pathlane.decision.Gateway;
+import pathlane.decision.Logic;
 
 /** Reads the wire line by line, hands events to the instance they name, and writes the replies. */
-final class Wire {
+public final class Wire {
 
     private static final int IN_TRANSIT = 8;
     private static final int NOTE_BITS = 16;
@@ -19,7 +20,7 @@
     private static final int ENGAGED = 4;
 
     /** A line that can't be read; its message names the line and the field. */
-    static final class Malformed extends RuntimeException {
+    public static final class Malformed extends RuntimeException {
         private static final long serialVersionUID = 1L;
 
         Malformed(String message) {
@@ -40,7 +41,7 @@
     private int rowsDue;
 
     /** Takes one line; returns the reply when it closes a batch, else null. */
-    String line(String text) {
+    public String line(String text) {
         lineNumber++;
         part = text.split("\t", -1);
         String message = part[0];
@@ -70,7 +71,7 @@
     }
 
     /** The input has ended: that is an error within a batch only. */
-    void end() {
+    public void end() {
         if (inBatch) {
             part = new String[0];
             throw malformed("message", "input ended within a batch");
@@ -113,44 +114,13 @@
         try {
             String json = text.substring(part[0].length() + part[1].length() + 2);
             JsonObject env = JsonParser.parseString(json).getAsJsonObject();
-            instances.put(who, new Logic(settings(env), seed, new Writer(who)));
+            instances.put(who, new Logic(SettingsReader.read(env), seed, new Writer(who)));
         } catch (JsonParseException | IllegalStateException | UnsupportedOperationException
                  | IllegalArgumentException e) {
             throw malformed("env", e.getMessage());
         }
     }
 
-    private static Gateway.Settings settings(JsonObject env) {
-        JsonObject specifics = object(env, "specifics");
-        JsonObject ceilings = object(env, "ceilings");
-        JsonObject rules = object(env, "rules");
-        JsonArray pools = array(specifics, "skilled-pools");
-        JsonArray widths = array(specifics, "class-width");
-        List<Gateway.CallClass> classes = new ArrayList<>();
-        for (JsonElement element : array(env, "lanes")) {
-            JsonObject lane = element.getAsJsonObject();
-            int index = classes.size();
-            List<Integer> allowed = new ArrayList<>();
-            if (index < pools.size()) {
-                pools.get(index).getAsJsonArray().forEach(pool -> allowed.add(pool.getAsInt()));
-            }
-            classes.add(new Gateway.CallClass(number(lane, "aim-ms", 0), number(lane, "deadline-ms", 0),
-                    number(lane, "importance", 1), number(lane, "late-value", 0),
-                    index < widths.size() ? widths.get(index).getAsInt() : 1,
-                    !lane.has("effect") || lane.get("effect").getAsString().equals("pure"), allowed));
-        }
-        boolean asks = env.has("discovery") && env.get("discovery").getAsString().equals("ask");
-        return new Gateway.Settings(classes,
-                new Gateway.Rules(number(rules, "cold-from", Double.NaN),
-                        number(rules, "cold-ms", Double.NaN),
-                        number(rules, "fall-multiple", Double.NaN), number(rules, "fall-ms", Double.NaN),
-                        number(specifics, "clear-wait-ms", 0)),
-                (int) number(env, "balancers", 1), (int) number(ceilings, "max-attempts", 1),
-                number(env, "tick-ms", 0), number(specifics, "t1-ms", 0),
-                ceilings.has("cancelling") && ceilings.get("cancelling").getAsBoolean(), asks,
-                (int) number(specifics, "self-no", -1));
-    }
-
     private void row() {
         if (rowsDue <= 0) {
             throw malformed("message", "row outside a roster");
@@ -299,18 +269,6 @@
         return new Malformed("line " + lineNumber + message + ", field " + field + ": " + what);
     }
 
-    private static double number(JsonObject from, String key, double absent) {
-        return from.has(key) && !from.get(key).isJsonNull() ? from.get(key).getAsDouble() : absent;
-    }
-
-    private static JsonObject object(JsonObject from, String key) {
-        return from.has(key) && from.get(key).isJsonObject() ? from.getAsJsonObject(key) : new JsonObject();
-    }
-
-    private static JsonArray array(JsonObject from, String key) {
-        return from.has(key) && from.get(key).isJsonArray() ? from.getAsJsonArray(key) : new JsonArray();
-    }
-
     /** Writes one instance's actions into the reply. */
     private final class Writer implements Gateway.Actions {
         private final int instance;
--- a/src/test/java/harrierloft/Bench.java
+++ b/src/test/java/pathlane/decision/Bench.java
@@ -1,9 +1,11 @@
-package harrierloft;
+package pathlane.decision;
 
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import pathlane.config.Settings;
 
 /** A hand-driven gateway for the tests: the clock moves when the test says so, and every action is kept. */
 final class Bench implements Gateway.Actions {
@@ -23,26 +25,34 @@
     double now;
     final Logic logic;
 
-    Bench(Gateway.Settings settings) {
+    Bench(Settings settings) {
         this(settings, 7);
     }
 
-    Bench(Gateway.Settings settings, long seed) {
+    Bench(Settings settings, long seed) {
         logic = new Logic(settings, seed, this);
     }
 
-    static Gateway.CallClass cls(double aim, double worth) {
-        return new Gateway.CallClass(aim, 9000, worth, 0.25, 1, true, List.of());
+    static Settings.CallClass cls(long aim, double worth) {
+        return new Settings.CallClass("c" + aim, ms(aim), ms(9000), worth, 0.25, 1, true, List.of());
     }
 
-    static Gateway.Rules rules() {
-        return new Gateway.Rules(0.3, 10_000, 2, 1000, 200);
+    static Settings.Rules rules() {
+        return new Settings.Rules(0.3, ms(10_000), 2, ms(1000), ms(200));
+    }
+
+    static Duration ms(long millis) {
+        return Duration.ofMillis(millis);
+    }
+
+    static Settings settings(List<Settings.CallClass> classes, int balancers, int attempts, long repeatMs) {
+        return new Settings(classes, rules(), balancers, attempts, ms(5), ms(repeatMs), true, false, -1,
+                ms(500), ms(600_000), Duration.ZERO);
     }
 
     /** Two classes, the second worth three times the first; no repeats unless asked for. */
-    static Gateway.Settings settings(double repeatMs) {
-        return new Gateway.Settings(List.of(cls(1000, 1), cls(2000, 3)), rules(), 1, 4, 5, repeatMs, true,
-                false, -1);
+    static Settings settings(long repeatMs) {
+        return settings(List.of(cls(1000, 1), cls(2000, 3)), 1, 4, repeatMs);
     }
 
     static Gateway.Listed running(long server) {
--- a/src/test/java/harrierloft/EmbeddingTest.java
+++ b/src/test/java/pathlane/decision/EmbeddingTest.java
@@ -1,13 +1,16 @@
-package harrierloft;
+package pathlane.decision;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import com.google.gson.JsonParser;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import org.junit.jupiter.api.Test;
+import pathlane.config.Settings;
+import pathlane.config.SettingsReader;
 
 /** The README's example, run as it stands there. */
 class EmbeddingTest {
@@ -16,10 +19,14 @@
     void theExampleRuns() {
         List<String> done = new ArrayList<>();
         // example
-        Gateway.Settings settings = new Gateway.Settings(
-                List.of(new Gateway.CallClass(1500, 9000, 1, 0.25, 1, true, List.of()),
-                        new Gateway.CallClass(2000, 9000, 3, 0.25, 1, true, List.of())),
-                new Gateway.Rules(0.28, 15_000, 3, 2000, 500), 6, 5, 5, 500, true, false, -1);
+        Settings settings = SettingsReader.read(JsonParser.parseString("""
+                {"balancers": 6, "tick-ms": 5,
+                 "lanes": [{"name": "status-check", "aim-ms": 1500, "deadline-ms": 9000},
+                           {"name": "deadline-sign", "aim-ms": 800, "deadline-ms": 6000, "importance": 6}],
+                 "ceilings": {"max-attempts": 5, "cancelling": true},
+                 "rules": {"cold-from": 0.28, "cold-ms": 13000, "fall-multiple": 3, "fall-ms": 1500},
+                 "specifics": {"clear-wait-ms": 200, "t1-ms": 500}}
+                """).getAsJsonObject());
         Gateway gateway = new Logic(settings, 42, new Gateway.Actions() {
             public void send(String call, long server, double giveUpAfterMs) { done.add("send " + call); }
             public void refuse(String call, double adviseMs) { done.add("refuse " + call); }
@@ -37,7 +44,7 @@
 
     @Test
     void theReadmeShowsTheSameExample() throws Exception {
-        String here = Files.readString(Path.of("src/test/java/harrierloft/EmbeddingTest.java"));
+        String here = Files.readString(Path.of("src/test/java/pathlane/decision/EmbeddingTest.java"));
         String example = here.substring(here.indexOf("// example\n") + 11, here.indexOf("        // end of example"));
         assertTrue(Files.readString(Path.of("README.md")).contains(example.replaceAll("(?m)^ {8}", "")));
     }
--- a/src/test/java/harrierloft/MechanismTest.java
+++ b/src/test/java/pathlane/decision/MechanismTest.java
@@ -1,4 +1,4 @@
-package harrierloft;
+package pathlane.decision;
 
 import static org.junit.jupiter.api.Assertions.assertArrayEquals;
 import static org.junit.jupiter.api.Assertions.assertEquals;
@@ -6,8 +6,10 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.time.Duration;
 import java.util.List;
 import org.junit.jupiter.api.Test;
+import pathlane.config.Settings;
 
 /** The ordinary path: the paper's conditions against hand-worked numbers, levels, gate, floors and choice. */
 class MechanismTest {
@@ -164,10 +166,10 @@
 
     @Test
     void unusableSettingsAreRefusedByName() {
-        assertTrue(refusal(() -> new Gateway.Settings(List.of(), Bench.rules(), 1, 1, 5, 0, true, false, -1))
+        assertTrue(refusal(() -> Bench.settings(List.of(), 1, 1, 0))
                 .contains("classes"));
         assertTrue(refusal(() -> Bench.cls(0, 1)).contains("aim"));
-        assertTrue(refusal(() -> new Gateway.Rules(0.3, 1000, 2, Double.NaN, 200)).contains("fall-ms"));
+        assertTrue(refusal(() -> new Settings.Rules(0.3, Bench.ms(1000), 2, Duration.ZERO, Bench.ms(200))).contains("fall-ms"));
     }
 
     private static String refusal(org.junit.jupiter.api.function.Executable settings) {
--- a/src/test/java/harrierloft/RulesTest.java
+++ b/src/test/java/pathlane/decision/RulesTest.java
@@ -1,4 +1,4 @@
-package harrierloft;
+package pathlane.decision;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
@@ -13,6 +13,7 @@
 import java.util.Set;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
+import pathlane.config.Settings;
 
 /** The five rules as properties over seeded streams of calls, outcomes, drains and restarts. */
 class RulesTest {
@@ -106,8 +107,7 @@
         // together.
         List<Double> sends = new ArrayList<>();
         for (int g = 0; g < balancers; g++) {
-            Gateway.Settings settings = new Gateway.Settings(List.of(Bench.cls(1000, 1)), Bench.rules(), balancers, 4, 5,
-                    0, true, false, -1);
+            Settings settings = Bench.settings(List.of(Bench.cls(1000, 1)), balancers, 4, 0);
             Bench bench = new Bench(settings, 100 + g);
             bench.list(Bench.running(1));
             for (int i = 0; i < 400; i++) {
--- a/src/test/java/harrierloft/SizeTest.java
+++ b/src/test/java/pathlane/decision/SizeTest.java
@@ -1,4 +1,4 @@
-package harrierloft;
+package pathlane.decision;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
@@ -7,6 +7,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import org.junit.jupiter.api.Test;
+import pathlane.config.Settings;
 
 /** One test for each failure found where hundreds of gateways share few servers, and each sees little. */
 class SizeTest {
@@ -15,9 +16,8 @@
 
     private final Bench bench = new Bench(Bench.settings(500));
 
-    private static Gateway.Settings many() {
-        return new Gateway.Settings(List.of(Bench.cls(1000, 1), Bench.cls(2000, 3)), Bench.rules(), MANY, 4, 5, 500,
-                true, false, -1);
+    private static Settings many() {
+        return Bench.settings(List.of(Bench.cls(1000, 1), Bench.cls(2000, 3)), MANY, 4, 500);
     }
 
     private static Gateway.Report lines(double free, double all) {
--- a/src/test/java/harrierloft/TroubleTest.java
+++ b/src/test/java/pathlane/decision/TroubleTest.java
@@ -1,4 +1,4 @@
-package harrierloft;
+package pathlane.decision;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
