--- a/src/main/java/pathlane/decision/Logic.java
+++ b/src/main/java/pathlane/decision/Logic.java
@@ -4,9 +4,11 @@
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.Comparator;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.TreeMap;
 import java.util.function.DoubleUnaryOperator;
@@ -360,15 +362,23 @@
         servers.values().forEach(server -> server.advance(now));
         if (!held.isEmpty()) {
             List<Setup> waiting = new ArrayList<>(held);
-            waiting.sort(Comparator.<Setup>comparingDouble(c -> -c.worthNow(now))
+            waiting.forEach(call -> call.rankedBy = call.worthNow(now));
+            waiting.sort(Comparator.<Setup>comparingDouble(c -> -c.rankedBy)
                     .thenComparingDouble(c -> c.arrivedAt));
+            // Guards against a long line of held calls: one of a kind that found no room speaks for the rest.
+            Set<List<Integer>> barred = new HashSet<>();
             for (Setup call : waiting) {
                 Dialled number = numbers.get(call.number());
+                List<Integer> alike = List.of(call.kind(), call.asked.firstChoice(), call.late(now) ? 1 : 0);
                 if (now >= call.holdUntil() || number != null && now < number.nextPass) {
                     held.remove(call);
                     finish(now, call);
-                } else if (now >= call.notBefore && place(now, call)) {
-                    held.remove(call);
+                } else if (now >= call.notBefore && !barred.contains(alike)) {
+                    if (place(now, call)) {
+                        held.remove(call);
+                    } else if (call.finalBy - now >= classLimit[call.kind()]) {
+                        barred.add(alike);
+                    }
                 }
             }
         }
@@ -472,6 +482,7 @@
         boolean done;
         boolean mayHaveRun;
         boolean judged;
+        double rankedBy;
 
         Setup(Call call, double now, double firstAt) {
             asked = call;
--- a/src/main/java/pathlane/platform/Message.java
+++ b/src/main/java/pathlane/platform/Message.java
@@ -105,6 +105,13 @@
         return value[0] & 0xff;
     }
 
+    @Override
+    public String toString() {
+        StringBuilder text = new StringBuilder("type " + type + " call " + id());
+        parameters.keySet().forEach(code -> text.append(' ').append(code).append('=').append(text(code)));
+        return text.toString();
+    }
+
     byte[] bytes() {
         ByteArrayOutputStream out = new ByteArrayOutputStream();
         out.writeBytes(ByteBuffer.allocate(LENGTH_BYTES + HEAD).putShort((short) 0).put((byte) type)
