Cheaper pass over held calls; told free lines reach the module

Cause: each event walked all held calls with spans converted, boxed keys and a fresh sort, purged all dialled numbers at every refusal, and ran streams at every detection (Logic.settle, inVain, detect, hasRoom).

--- a/src/main/java/pathlane/core/CallController.java
+++ b/src/main/java/pathlane/core/CallController.java
@@ -221,6 +221,14 @@
         }
     }
 
+    /** A server told of its free lines and of all its lines. */
+    public void linesTold(long serverId, double free, double size) {
+        if (servers.containsKey(serverId)) {
+            tell(at -> module.reported(at, serverId, new Gateway.Report(free, size, Double.NaN, Double.NaN,
+                    Double.NaN, Double.NaN)));
+        }
+    }
+
     /** A server's process is gone, and with it all calls that stood there. */
     public void serverDied(long serverId) {
         Server server = servers.get(serverId);
--- a/src/main/java/pathlane/decision/Logic.java
+++ b/src/main/java/pathlane/decision/Logic.java
@@ -59,6 +59,11 @@
     /** Evidence stays good for so many of the longest aims; a loss of set-ups is minded for so many such. */
     private static final double MEMORY_AIMS = 2;
 
+    private static final Comparator<Setup> DEAREST_FIRST = (one, other) -> {
+        int byWorth = Double.compare(other.rankedBy, one.rankedBy);
+        return byWorth != 0 ? byWorth : Double.compare(one.arrivedAt, other.arrivedAt);
+    };
+
     private final Settings settings;
     private final Actions actions;
     private final SplittableRandom random;
@@ -66,6 +71,7 @@
     private final double[] classLimit;
     private final int[] rank;
     private final int[] byRank;
+    private final double floorsTogether;
     private final double shortest;
     private final double longest;
     private final double memory;
@@ -83,6 +89,8 @@
     private final Rate arrivals;
     private double wakeAt = Double.NaN;
     private double askAt = Double.NaN;
+    private double purgedAt = Double.NEGATIVE_INFINITY;
+    private double engagedUntil = Double.NEGATIVE_INFINITY;
     private double stalledAt = Double.NaN;
 
     /** Starts empty; the seed is the only source of chance. */
@@ -107,6 +115,7 @@
         for (int r = 0; r < count; r++) {
             rank[byRank[r]] = r;
         }
+        floorsTogether = Arrays.stream(rank).mapToDouble(r -> FLOORS[Math.min(r, FLOORS.length - 1)]).sum();
         if (settings.mustAsk()) {
             actions.askForList();
         }
@@ -186,8 +195,11 @@
 
     /** Lines of the running servers together: servers differ widely, and the lines of one tell its part. */
     private double lines() {
-        return Math.max(1, servers.values().stream().filter(server -> server.mode == Mode.RUNNING)
-                .mapToDouble(server -> server.lines).sum());
+        double sum = 0;
+        for (Server server : servers.values()) {
+            sum += server.mode == Mode.RUNNING ? server.lines : 0;
+        }
+        return Math.max(1, sum);
     }
 
     /** A number lately dialled in vain: since when, and the gap of its calls while its lines are engaged. */
@@ -196,11 +208,18 @@
         double engagedAt = Double.NEGATIVE_INFINITY;
         double gap;
         double nextPass;
+
+        boolean forgotten(double now, double deadline) {
+            return now - firstAt > deadline && now > nextPass + gap;
+        }
     }
 
     private Dialled inVain(double now, Setup call) {
         double deadline = call.callClass().deadlineMs();
-        numbers.values().removeIf(old -> now - old.firstAt > deadline && now > old.nextPass + old.gap);
+        if (now - purgedAt >= shortest) {   // seldom, or it would cost the more the more callers are refused
+            purgedAt = now;
+            numbers.values().removeIf(old -> old.forgotten(now, deadline));
+        }
         Dialled number = numbers.computeIfAbsent(call.number(), n -> new Dialled());
         number.firstAt = call.firstAt;
         return number;
@@ -217,6 +236,7 @@
             number.engagedAt = now;
             number.gap = Math.min(Math.max(number.gap + number.gap, shortest), call.callClass().deadlineMs());
             number.nextPass = now + number.gap;
+            engagedUntil = Math.max(engagedUntil, number.nextPass);
         }
     }
 
@@ -294,6 +314,7 @@
                 || call.mayHaveRun && !call.callClass().repeatable()) {
             finish(now, call);
         } else {
+            call.holdUntil = call.holdUntil();
             held.add(call);
         }
     }
@@ -363,21 +384,19 @@
         if (!held.isEmpty()) {
             List<Setup> waiting = new ArrayList<>(held);
             waiting.forEach(call -> call.rankedBy = call.worthNow(now));
-            waiting.sort(Comparator.<Setup>comparingDouble(c -> -c.rankedBy)
-                    .thenComparingDouble(c -> c.arrivedAt));
+            waiting.sort(DEAREST_FIRST);   // nearly in order from the last time
+            held.clear();
             // Guards against a long line of held calls: one of a kind that found no room speaks for the rest.
-            Set<List<Integer>> barred = new HashSet<>();
+            Set<Long> barred = new HashSet<>();
             for (Setup call : waiting) {
-                Dialled number = numbers.get(call.number());
-                List<Integer> alike = List.of(call.kind(), call.asked.firstChoice(), call.late(now) ? 1 : 0);
-                if (now >= call.holdUntil() || number != null && now < number.nextPass) {
-                    held.remove(call);
+                if (now >= call.holdUntil || now < engagedUntil && engagedNow(now, call)) {
                     finish(now, call);
-                } else if (now >= call.notBefore && !barred.contains(alike)) {
-                    if (place(now, call)) {
-                        held.remove(call);
-                    } else if (call.finalBy - now >= classLimit[call.kind()]) {
-                        barred.add(alike);
+                } else if (now < call.notBefore || !barred.isEmpty() && barred.contains(call.alike(now))) {
+                    held.add(call);
+                } else if (!place(now, call)) {
+                    held.add(call);
+                    if (call.finalBy - now >= classLimit[call.kind()]) {
+                        barred.add(call.alike(now));
                     }
                 }
             }
@@ -385,6 +404,11 @@
         wake(now);
     }
 
+    private boolean engagedNow(double now, Setup call) {
+        Dialled number = numbers.get(call.number());
+        return number != null && now < number.nextPass;
+    }
+
     /** Asks for the next bell; a held call whose time ends before one asked for gets one of its own. */
     private void wake(double now) {
         if (calls.isEmpty() && Double.isNaN(askAt)) {
@@ -392,7 +416,7 @@
         }
         double next = now + Math.max(settings.tickMs() * 2, shortest * (held.isEmpty() ? 0.1 : 0.02));
         for (Setup call : held) {
-            next = Math.min(next, Math.max(now, call.holdUntil()));
+            next = Math.min(next, Math.max(now, call.holdUntil));
         }
         if (Double.isNaN(wakeAt) || next < wakeAt) {
             wakeAt = next;
@@ -456,6 +480,7 @@
         Dialled number = numbers.get(call.number());
         if (number != null) {
             number.nextPass = now + number.gap;
+            engagedUntil = Math.max(engagedUntil, number.nextPass);
         }
         call.server = server;
         call.attempts++;
@@ -483,11 +508,19 @@
         boolean mayHaveRun;
         boolean judged;
         double rankedBy;
+        double holdUntil;
+        final double lateFrom;
+        final double worth;
+        final double lateWorth;
 
         Setup(Call call, double now, double firstAt) {
             asked = call;
             arrivedAt = now;
             this.firstAt = firstAt;
+            lateFrom = firstAt + callClass().aimMs();
+            worth = utility(kind());
+            lateWorth = worth * callClass().lateWorth();
+            holdUntil = holdUntil();
             finalBy = now + call.graceMs() - 2 * settings.tickMs();
         }
 
@@ -510,15 +543,20 @@
 
         /** The paper's U, or what is left of it once the caller's first try is longer ago than the aim. */
         double worthNow(double now) {
-            return utility(kind()) * (late(now) ? callClass().lateWorth() : 1);
+            return late(now) ? lateWorth : worth;
         }
 
         boolean late(double now) {
-            return now >= firstAt + callClass().aimMs();
+            return now >= lateFrom;
+        }
+
+        /** Calls with the same figure find room at the same servers, but for the time that they have left. */
+        long alike(double now) {
+            return ((long) asked.firstChoice() << Integer.SIZE) + 2L * kind() + (late(now) ? 1 : 0);
         }
 
         /** Held while it can still stand within its aim, but not so long that an own stall could lose it. */
-        double holdUntil() {
+        private double holdUntil() {
             double from = Math.max(arrivedAt, notBefore);
             double most = arrivedAt + asked.graceMs() * (1 - HOLD_SHARE);
             double patience = Math.min(asked.graceMs() * HOLD_SHARE, callClass().aimMs() * MARGIN);
@@ -641,14 +679,16 @@
 
         /** The floor rate, in calls a millisecond, of all classes with this limit. */
         double lambda(double limit) {
-            IntStream with = IntStream.range(0, rank.length).filter(c -> classLimit[c] == limit);
-            return with.mapToDouble(this::floor).sum();
+            double sum = 0;
+            for (int c = 0; c < rank.length; c++) {
+                sum += classLimit[c] == limit ? floor(c) : 0;
+            }
+            return sum;
         }
 
         /** The floor d of one class: the paper's ratio, scaled to a share of what the server answered. */
         double floor(int callClass) {
-            double all = Arrays.stream(rank).mapToDouble(r -> FLOORS[Math.min(r, FLOORS.length - 1)]).sum();
-            double share = FLOORS[Math.min(rank[callClass], FLOORS.length - 1)] / all;
+            double share = FLOORS[Math.min(rank[callClass], FLOORS.length - 1)] / floorsTogether;
             return share * Math.max(FLOOR_SHARE * rate.last(), 1 / (memory * settings.balancers()));
         }
 
@@ -664,10 +704,21 @@
             }
             detectedAt = now;
             refreshX(now);
-            double[] floors = Arrays.stream(limits).map(this::lambda).toArray();
+            double[] floors = new double[limits.length];
+            Arrays.setAll(floors, i -> lambda(limits[i]));
+            double[] left = new double[unanswered.size()];
+            int size = 0;
+            for (Setup call : unanswered.values()) {
+                left[size++] = call.deadline - now;
+            }
             // N(t): own unanswered set-ups whose deadline is under t away.
-            DoubleUnaryOperator near = t -> unanswered.values().stream()
-                    .filter(call -> call.deadline - now < t).count() + (offered <= t ? 1 : 0);
+            DoubleUnaryOperator near = t -> {
+                int count = offered <= t ? 1 : 0;
+                for (double one : left) {
+                    count += one < t ? 1 : 0;
+                }
+                return count;
+            };
             see(now, !feasible(limits, floors, near, x, 1) ? 2
                     : !feasible(limits, floors, near, x, MARGIN) ? 1 : 0);
         }
@@ -688,7 +739,12 @@
             while (samples.size() > RECENT || samples.size() > 1 && samples.peekFirst()[0] < from) {
                 samples.removeFirst();
             }
-            double[] sorted = samples.stream().mapToDouble(s -> s[1]).sorted().toArray();
+            double[] sorted = new double[samples.size()];
+            int size = 0;
+            for (double[] sample : samples) {
+                sorted[size++] = sample[1];
+            }
+            Arrays.sort(sorted);
             x = sorted.length == 0 ? 0 : sorted[(3 * sorted.length - 1) / 4];
         }
 
@@ -728,7 +784,10 @@
                     || now - sentAt < pace && evenGap(now) >= shortest) {
                 return false;   // rules three and four, pauses after failures, and the pace
             }
-            int out = (int) unanswered.values().stream().filter(waiting -> !waiting.judged).count();
+            int out = 0;
+            for (Setup waiting : unanswered.values()) {
+                out += waiting.judged ? 0 : 1;
+            }
             double limit = MARGIN * Math.min(classLimit[call.kind()], call.finalBy - now);
             if (x == 0) {
                 return out < (failures > 0 ? 1 : UNPROVEN) && oldest(now) < limit;
@@ -739,7 +798,10 @@
                 return true;
             }
             // Guards against the herd that finds a server idle: x tells of no more than were seen out.
-            double seenOut = samples.stream().mapToDouble(sample -> sample[2]).max().orElse(0);
+            double seenOut = 0;
+            for (double[] sample : samples) {
+                seenOut = Math.max(seenOut, sample[2]);
+            }
             return out < 1 + seenOut && (out + 1) * x < limit && oldest(now) < limit;
         }
 
--- a/src/main/java/pathlane/platform/Message.java
+++ b/src/main/java/pathlane/platform/Message.java
@@ -24,6 +24,7 @@
     static final int FIGURES = 144;
     static final int COME_BACK = 147;
     static final int NOTE = 150;
+    static final int STATE = 156;
     static final int CAUSE = 171;
     static final int DESCRIPTION = 174;
 
@@ -105,13 +106,6 @@
         return value[0] & 0xff;
     }
 
-    @Override
-    public String toString() {
-        StringBuilder text = new StringBuilder("type " + type + " call " + id());
-        parameters.keySet().forEach(code -> text.append(' ').append(code).append('=').append(text(code)));
-        return text.toString();
-    }
-
     byte[] bytes() {
         ByteArrayOutputStream out = new ByteArrayOutputStream();
         out.writeBytes(ByteBuffer.allocate(LENGTH_BYTES + HEAD).putShort((short) 0).put((byte) type)
--- a/src/main/java/pathlane/platform/ServerLink.java
+++ b/src/main/java/pathlane/platform/ServerLink.java
@@ -185,11 +185,29 @@
                             Cause.ending(message.cause(), message.text(Message.NOTE)));
                 }
                 case Message.PROGRESS, Message.RELEASE_HEARD, Message.TEST_RESULT -> { }
-                case Message.GROUP_STATE -> LOG.log(Level.INFO, "server {0} group state {1}", name, message);
+                case Message.GROUP_STATE -> groupState(message);
                 default -> throw new BadInput("a message of type " + message.type);
             }
         }
 
+        /** A state such as {@code free:12;size:299}: the server's free lines and all its lines. */
+        private void groupState(Message message) {
+            double free = Double.NaN;
+            double size = Double.NaN;
+            for (String figure : message.text(Message.STATE).split(";")) {
+                try {
+                    if (figure.startsWith("free:")) {
+                        free = Double.parseDouble(figure.substring("free:".length()));
+                    } else if (figure.startsWith("size:")) {
+                        size = Double.parseDouble(figure.substring("size:".length()));
+                    }
+                } catch (NumberFormatException e) {
+                    throw new BadInput("a state '" + figure + "'");
+                }
+            }
+            controller.get().linesTold(server.id(), free, size);
+        }
+
         @Override
         public void closed(ConnectionEnd end) {
             session = session == this ? null : session;
