Diameter front on the same core, and recorded exchanges that play both fronts

The Diameter front: RFC 6733 peers, RFC 3539 watchdog, RFC 8506 initial and termination requests. It is started by 'diameter FILE', never by the platform's run command.

--- a/src/main/java/pathlane/Main.java
+++ b/src/main/java/pathlane/Main.java
@@ -6,27 +6,33 @@
 import java.io.OutputStream;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
+import pathlane.config.DiameterConfig;
 import pathlane.config.NodeConfig;
 import pathlane.sim.Wire;
 
-/** Starts the program: {@code serve} is a real call controller, {@code simhost} speaks the simulator's wire. */
+/** Starts the program: {@code serve} is a real call controller on the platform,
+ * {@code diameter} one for Diameter peers, {@code simhost} speaks the simulator's wire. */
 public final class Main {
 
     private Main() { }
 
     /**
-     * Runs one of the two.
+     * Runs one of the three.
      *
-     * @param args the one word {@code serve} or {@code simhost}
+     * @param args {@code serve}, {@code diameter} and a file, or {@code simhost}
      */
     public static void main(String[] args) {
-        String what = args.length == 1 ? args[0] : "";
+        String what = String.join(" ", args);
         try {
-            switch (what) {
+            switch (args.length == 2 ? args[0] + " FILE" : what) {
                 case "serve" -> serve();
+                case "diameter FILE" -> {
+                    logPlainly();
+                    Node.start(DiameterConfig.read(Path.of(args[1])));
+                }
                 case "simhost" -> simulate();
                 default -> {
-                    System.err.println("usage: java -jar pathlane.jar serve | simhost");
+                    System.err.println("usage: java -jar pathlane.jar serve | diameter FILE | simhost");
                     System.exit(2);
                 }
             }
@@ -36,8 +42,12 @@
         }
     }
 
-    private static void serve() {
+    private static void logPlainly() {
         System.setProperty("java.util.logging.SimpleFormatter.format", "%1$tF %1$tT.%1$tL %4$s %3$s: %5$s%6$s%n");
+    }
+
+    private static void serve() {
+        logPlainly();
         String file = System.getenv("RELAY_CONFIG");
         if (file == null) {
             throw new IllegalArgumentException("RELAY_CONFIG does not name a configuration");
--- a/src/main/java/pathlane/Node.java
+++ b/src/main/java/pathlane/Node.java
@@ -2,19 +2,22 @@
 
 import java.lang.System.Logger;
 import java.lang.System.Logger.Level;
+import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.time.Instant;
+import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutionException;
+import java.util.function.Supplier;
+import pathlane.config.DiameterConfig;
 import pathlane.config.NodeConfig;
 import pathlane.core.CallController;
+import pathlane.diameter.DiameterFront;
+import pathlane.link.Protocol;
 import pathlane.net.EventLoop;
 import pathlane.net.Network;
-import pathlane.platform.BusFeed;
-import pathlane.platform.CallerSession;
-import pathlane.platform.ServerLink;
-import pathlane.platform.ServerList;
+import pathlane.platform.PlatformFront;
 
 /** One real call controller: puts the parts together and sees to an orderly end. */
 final class Node {
@@ -24,60 +27,63 @@
     private static final Duration STILL_COMING = Duration.ofMillis(750);
     private static final Duration END_CHECK = Duration.ofMillis(20);
 
+    /** A front: who decides its calls, what meets its callers, and how it parts from its peers at the end. */
+    private record Front(CallController controller, Supplier<Protocol> callers, Runnable part) { }
+
     private final EventLoop loop = new EventLoop();
     private final Network network = new Network(loop);
     private final CountDownLatch ended = new CountDownLatch(1);
-    private final NodeConfig config;
-    private CallController controller;
-    private AutoCloseable listener;
-    private boolean ending;
+    private Front front;
+    private volatile boolean ending;
 
-    private Node(NodeConfig config) {
-        this.config = config;
+    /** Starts a call controller on the platform; it serves until the process is asked to end. */
+    static void start(NodeConfig config) {
+        Node node = new Node();
+        node.serve(config.name(), config.listen(), () -> {
+            PlatformFront platform = new PlatformFront(config, node.network, node.loop, () -> !node.ending);
+            return new Front(platform.controller(), platform::accept, () -> { });
+        });
     }
 
-    /** Starts a call controller; it serves until the process is asked to end. */
-    static void start(NodeConfig config) {
-        Node node = new Node(config);
-        CompletableFuture<Void> built = new CompletableFuture<>();
-        node.loop.execute(() -> {
+    /** Starts a call controller for Diameter peers; it serves until the process is asked to end. */
+    static void start(DiameterConfig config) {
+        Node node = new Node();
+        SplittableRandom random = new SplittableRandom();
+        node.serve(config.host(), config.listen(), () -> {
+            DiameterFront diameter = new DiameterFront(config, random.nextLong(), node.network, node.loop, random);
+            return new Front(diameter.controller(), diameter::accept, diameter::disconnect);
+        });
+    }
+
+    private void serve(String name, InetSocketAddress listen, Supplier<Front> build) {
+        CompletableFuture<Front> built = new CompletableFuture<>();
+        loop.execute(() -> {
             try {
-                node.build();
-                built.complete(null);
+                built.complete(build.get());
             } catch (RuntimeException e) {
                 built.completeExceptionally(e);
             }
         });
         try {
-            built.get();
-            node.listener = node.network.listen(config.listen(),
-                    () -> new CallerSession(node.controller, () -> !node.ending));
-        } catch (ExecutionException | InterruptedException | IllegalArgumentException e) {
-            node.loop.close();
-            throw new IllegalArgumentException(e instanceof ExecutionException ? e.getCause().getMessage()
-                    : e.getMessage(), e);
-        }
-        Runtime.getRuntime().addShutdownHook(new Thread(node::end, "end"));
-        LOG.log(Level.INFO, "call controller {0} serves on {1}", config.name(), config.listen());
-    }
-
-    private void build() {
-        controller = new CallController(config.settings(), config.seed(), loop,
-                line -> new ServerLink(line, config.settings(), () -> controller, network, loop));
-        ServerList.known(config).forEach(event -> controller.listed(event.whole(), event.lines()));
-        if (config.bus() != null) {
-            new BusFeed(config.bus(), config.knownOffset(), network, loop,
-                    event -> controller.listed(event.whole(), event.lines())).start();
+            front = built.get();
+            network.listen(listen, front.callers());
+        } catch (ExecutionException e) {
+            loop.close();
+            throw new IllegalArgumentException(e.getCause().getMessage(), e);
+        } catch (InterruptedException | IllegalArgumentException e) {
+            loop.close();
+            throw new IllegalArgumentException(e.getMessage(), e);
         }
+        Runtime.getRuntime().addShutdownHook(new Thread(this::end, "end"));
+        LOG.log(Level.INFO, "call controller {0} serves on {1}", name, listen);
     }
 
     /** Goes on serving until nothing more comes and all that was taken is answered. */
     private void end() {
         loop.execute(() -> {
             ending = true;
-            LOG.log(Level.INFO, "asked to end: {0} calls are open", controller.openCalls());
-            Instant until = loop.now().plus(STILL_COMING);
-            endWhenAnswered(until);
+            LOG.log(Level.INFO, "asked to end: {0} calls are open", front.controller().openCalls());
+            endWhenAnswered(loop.now().plus(STILL_COMING));
         });
         try {
             ended.await();
@@ -87,10 +93,11 @@
     }
 
     private void endWhenAnswered(Instant until) {
-        if (loop.now().isBefore(until) || controller.openCalls() > 0) {
+        if (loop.now().isBefore(until) || front.controller().openCalls() > 0) {
             loop.after(END_CHECK, () -> endWhenAnswered(until));
         } else {
-            LOG.log(Level.INFO, "ended: {0}", controller.counters().line());
+            front.part().run();
+            LOG.log(Level.INFO, "ended: {0}", front.controller().counters().line());
             loop.after(END_CHECK, ended::countDown);   // what was just written leaves first
         }
     }
--- a/src/main/java/pathlane/config/NodeConfig.java
+++ b/src/main/java/pathlane/config/NodeConfig.java
@@ -41,7 +41,7 @@
         }
     }
 
-    static NodeConfig parse(String text) {
+    public static NodeConfig parse(String text) {
         JsonObject root = JsonParser.parseString(text).getAsJsonObject();
         JsonObject known = SettingsReader.object(root, "known");
         return new NodeConfig(text(root, "name"), address(text(root, "listen")),
@@ -51,7 +51,7 @@
                 SettingsReader.read(SettingsReader.object(root, "settings")));
     }
 
-    private static String text(JsonObject from, String key) {
+    static String text(JsonObject from, String key) {
         if (!from.has(key)) {
             throw new IllegalArgumentException("'" + key + "' is missing");
         }
--- a/src/main/java/pathlane/core/CallController.java
+++ b/src/main/java/pathlane/core/CallController.java
@@ -38,6 +38,8 @@
     /** What is over is remembered for so long: what a server or caller still says of it concerns nobody. */
     private static final Duration OVER_MEMORY = Duration.ofSeconds(60);
 
+    private static final int MOST_UNRELAYED = 10_000;
+
     private final Settings settings;
     private final Scheduler scheduler;
     private final ServerPorts ports;
@@ -47,9 +49,13 @@
     private final Map<Long, Server> servers = new TreeMap<>();
     private final Map<String, Instant> over = new LinkedHashMap<>();
     private final List<CallerPort> callers = new ArrayList<>();
-    private final Map<String, Ending> unrelayed = new LinkedHashMap<>();
+    private final Map<String, Unrelayed> unrelayed = new LinkedHashMap<>();
     private final ArrayDeque<Runnable> deferred = new ArrayDeque<>();
     private boolean inModule;
+    private static final byte[] NOTHING = {};
+
+    /** A release that found no connection to its caller. */
+    private record Unrelayed(CallerPort own, Ending how) { }
 
     private static final class Server {
         final ServerPort port;
@@ -73,6 +79,7 @@
         Instant notBefore = Instant.MIN;
         Scheduler.Timer patience;
         boolean standing;
+        boolean mayHaveRun;
 
         Call(SetUp asked, Instant deadline, CallerPort caller) {
             this.asked = asked;
@@ -111,8 +118,13 @@
     /** A caller can be reached; what found none to go to goes there. */
     public void callerOpened(CallerPort caller) {
         callers.add(caller);
-        unrelayed.forEach(caller::release);
-        unrelayed.clear();
+        unrelayed.entrySet().removeIf(waiting -> {
+            boolean reached = caller.reaches(waiting.getValue().own());
+            if (reached) {
+                caller.release(waiting.getKey(), waiting.getValue().how());
+            }
+            return reached;
+        });
     }
 
     /** A caller's connection has ended: its open set-ups are given up; calls that stand are tied to none. */
@@ -122,12 +134,12 @@
         left.forEach(this::leave);
     }
 
-    /** A caller asks for a call; the final answer goes to the port. */
-    public void setUp(SetUp setUp, CallerPort caller) {
+    /** A caller asks for a call; the final answer goes to the port. False: the call stands already. */
+    public boolean setUp(SetUp setUp, CallerPort caller) {
         Call known = calls.get(setUp.id());
         if (known != null) {
             known.caller = known.standing ? known.caller : caller;   // sent once more after a crossing close
-            return;
+            return !known.standing;
         }
         counters.count(Name.SET_UPS);
         Instant now = scheduler.now();
@@ -139,6 +151,7 @@
         call.guard = scheduler.after(left, () -> answerOverdue(call));
         tell(at -> module.arrived(at, new Gateway.Call(setUp.id(), setUp.callClass(), setUp.number(),
                 Millis.of(left), setUp.firstChoice(), false)));
+        return true;
     }
 
     private void answerOverdue(Call call) {
@@ -150,22 +163,32 @@
         }
     }
 
-    /** A caller gives a set-up up, or releases a call that stands: which of the two, its state tells. */
-    public void callerReleased(String id) {
+    /**
+     * A caller gives a set-up up, or releases a call that stands: which of the two, its state tells. False:
+     * no such call is known.
+     */
+    public boolean callerReleased(String id, byte[] content) {
         Call call = calls.get(id);
         if (call == null) {
-            // A call from before this program's start: the server that has it is not known.
-            if (!over.containsKey(id)) {
-                servers.values().forEach(server -> server.port.release(id, Ending.COMPLETED));
-            }
-        } else if (call.standing) {
+            return false;
+        }
+        if (call.standing) {
             counters.count(Name.RELEASED_BY_CALLER);
             remove(call);
-            call.server.port.release(id, Ending.COMPLETED);
+            call.server.port.release(id, Ending.COMPLETED, content);
             report(call, Ending.CANCELLED, true);
         } else {
             leave(call);
         }
+        return true;
+    }
+
+    /** A caller releases a call that is not known: one from before this program's start, at whichever server. */
+    public void releaseEverywhere(String id) {
+        if (!over.containsKey(id)) {
+            servers.values().stream().filter(server -> server.line.mode() != Mode.GONE)
+                    .forEach(server -> server.port.release(id, Ending.COMPLETED, NOTHING));
+        }
     }
 
     /** The caller no longer waits: no answer is owed, and an attempt that is out is given up. */
@@ -190,7 +213,7 @@
             // Guards against a late answer of a given-up attempt: it holds the server's place for nobody.
             if (server != null && (call == null || call.server != server)) {
                 counters.count(Name.LATE_ANSWERS);
-                server.port.release(id, Ending.CANCELLED);
+                server.port.release(id, Ending.CANCELLED, NOTHING);
             }
             return;
         }
@@ -204,7 +227,7 @@
     }
 
     /** A server released a call, before or after its answer; or its connection ended under a set-up. */
-    public void released(long serverId, String id, Ending how) {
+    public void released(long serverId, String id, Ending how, Duration statedWait) {
         Call call = calls.get(id);
         Server server = servers.get(serverId);
         if (call == null) {
@@ -217,7 +240,7 @@
             finishStanding(call, how == Ending.COMPLETED ? how : Ending.RESET);
         } else if (call.server == server && server != null) {
             call.patience.cancel();
-            report(call, how == Ending.COMPLETED ? Ending.ERROR : how, false);
+            report(call, how == Ending.COMPLETED ? Ending.ERROR : how, false, statedWait);
         }
     }
 
@@ -257,12 +280,12 @@
 
     /** Releases towards the call's own connection, else any, else the next that opens. */
     private void relay(CallerPort own, String id, Ending how) {
-        if (callers.contains(own)) {
-            own.release(id, how);
-        } else if (!callers.isEmpty()) {
-            callers.get(callers.size() - 1).release(id, how);
-        } else {
-            unrelayed.put(id, how);
+        CallerPort way = callers.contains(own) ? own
+                : callers.stream().filter(caller -> caller.reaches(own)).reduce((a, b) -> b).orElse(null);
+        if (way != null) {
+            way.release(id, how);
+        } else if (unrelayed.size() < MOST_UNRELAYED) {
+            unrelayed.put(id, new Unrelayed(own, how));
         }
     }
 
@@ -346,6 +369,10 @@
 
     /** Tells the module how the call's attempt ended; the call is then free for another. */
     private void report(Call call, Ending how, boolean closed) {
+        report(call, how, closed, Duration.ZERO);
+    }
+
+    private void report(Call call, Ending how, boolean closed, Duration statedWait) {
         Server server = call.server;
         call.server = null;
         if (!call.standing) {
@@ -359,13 +386,14 @@
                 default -> Name.ATTEMPTS_IN_ERROR;
             });
         }
+        call.mayHaveRun |= how == Ending.TIMED_OUT || how == Ending.RESET || how == Ending.CANCELLED;
         if (how == Ending.TIMED_OUT || how == Ending.RESET || how == Ending.CANCELLED) {
             call.notBefore = scheduler.now().plus(settings.rules().clearWait().minus(CLEAR_MARGIN));
         }
         double waited = Millis.of(Duration.between(call.sentAt, scheduler.now()));
         int attempt = call.attempts - 1;
         tell(at -> module.ended(at, new Gateway.Ended(call.asked.id(), attempt, server.line.id(), how, closed,
-                waited, 0, null)));
+                waited, Millis.of(statedWait), null)));
     }
 
     private void giveUpAttempt(Call call) {
@@ -413,7 +441,7 @@
             call.server = server;
             call.sentAt = now;
             call.patience = scheduler.after(patience, () -> timedOut(call, attempt));
-            server.port.setUp(call.asked, patience);
+            server.port.setUp(call.asked, patience, call.mayHaveRun);
         }
 
         private void timedOut(Call call, int attempt) {
--- a/src/main/java/pathlane/core/CallerPort.java
+++ b/src/main/java/pathlane/core/CallerPort.java
@@ -17,4 +17,9 @@
 
     /** A call that stood is over. */
     void release(String call, Ending how);
+
+    /** Whether this is a way to the callers of another port, or, for null, of one that isn't known. */
+    default boolean reaches(CallerPort other) {
+        return true;
+    }
 }
--- a/src/main/java/pathlane/core/ServerPort.java
+++ b/src/main/java/pathlane/core/ServerPort.java
@@ -6,14 +6,19 @@
 /** The way to one session server. What it says comes back through {@link CallController}. */
 public interface ServerPort {
 
-    /** Sends a set-up; {@code patience} is how long it will be waited for. */
-    void setUp(SetUp setUp, Duration patience);
+    /**
+     * Sends a set-up.
+     *
+     * @param patience how long it will be waited for
+     * @param mayHaveRun whether an earlier attempt of the call may have reached a server
+     */
+    void setUp(SetUp setUp, Duration patience, boolean mayHaveRun);
 
     /** A set-up is given up: nothing that comes for it counts any more. */
     void giveUp(String call);
 
-    /** A call that stands there is released. */
-    void release(String call, Ending how);
+    /** A call that stands there is released; the content is the caller's, empty where there is none. */
+    void release(String call, Ending how, byte[] content);
 
     /** The server takes nothing new: what has not left yet comes back, what runs goes on. */
     void drain();
--- /dev/null
+++ b/src/main/java/pathlane/diameter/DiameterFront.java
@@ -0,0 +1,70 @@
+package pathlane.diameter;
+
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.random.RandomGenerator;
+import pathlane.config.DiameterConfig;
+import pathlane.core.CallController;
+import pathlane.core.Scheduler;
+import pathlane.core.ServerLine;
+import pathlane.decision.Gateway.Mode;
+import pathlane.link.Dialer;
+import pathlane.link.Protocol;
+
+/** The Diameter front of a call controller: its clients, its server peers, and the list that these make up. */
+public final class DiameterFront {
+
+    private final DiameterConfig config;
+    private final Scheduler scheduler;
+    private final RandomGenerator random;
+    private final LocalNode local;
+    private final CallController controller;
+    private final Map<Long, ServerPeer> servers = new HashMap<>();
+    private final List<ClientPeer> clients = new ArrayList<>();
+
+    public DiameterFront(DiameterConfig config, long seed, Dialer dialer, Scheduler scheduler,
+                         RandomGenerator random) {
+        this.config = config;
+        this.scheduler = scheduler;
+        this.random = random;
+        this.local = new LocalNode(config.host(), config.realm(), config.listen().getAddress().getAddress());
+        this.controller = new CallController(config.settings(), seed, scheduler, line -> {
+            DiameterConfig.Peer peer = config.peer(line.id());
+            ServerPeer port = new ServerPeer(peer, local, config.watchdog(), this::controller, dialer, scheduler,
+                    random, available -> list(peer, available));
+            servers.put(line.id(), port);
+            return port;
+        });
+        controller.listed(true, config.peers().stream().map(peer -> line(peer, false)).toList());
+    }
+
+    public CallController controller() {
+        return controller;
+    }
+
+    /** The state machine for a connection that a client has opened. */
+    public Protocol accept() {
+        ClientPeer client = new ClientPeer(controller, config, local, scheduler, random);
+        clients.add(client);
+        return new PeerSession(false, local, scheduler, random, client);
+    }
+
+    /** Parts from all peers in order. */
+    public void disconnect() {
+        clients.forEach(ClientPeer::disconnect);
+        servers.values().forEach(ServerPeer::disconnect);
+    }
+
+    /** A peer that takes nothing new is listed like one that drains: what is out there goes on. */
+    private void list(DiameterConfig.Peer peer, boolean available) {
+        controller.listed(false, List.of(line(peer, available)));
+    }
+
+    private static ServerLine line(DiameterConfig.Peer peer, boolean available) {
+        return new ServerLine(peer.id(), peer.address(), available ? Mode.RUNNING : Mode.DRAINING, peer.cell(), 1,
+                Instant.EPOCH);
+    }
+}
--- a/src/main/java/pathlane/platform/CallerSession.java
+++ b/src/main/java/pathlane/platform/CallerSession.java
@@ -53,7 +53,11 @@
     private void message(Message message) {
         switch (message.type) {
             case Message.SET_UP -> setUp(message);
-            case Message.RELEASE -> controller.callerReleased(message.id());
+            case Message.RELEASE -> {
+                if (!controller.callerReleased(message.id(), NOTHING)) {
+                    controller.releaseEverywhere(message.id());
+                }
+            }
             case Message.TEST -> connection.write(new Message(Message.TEST_RESULT, message.call)
                     .withCause(ready.getAsBoolean() ? 1 : 0).bytes());
             case Message.PROGRESS, Message.RELEASE_HEARD -> { }
--- /dev/null
+++ b/src/main/java/pathlane/platform/PlatformFront.java
@@ -0,0 +1,36 @@
+package pathlane.platform;
+
+import java.util.function.BooleanSupplier;
+import pathlane.config.NodeConfig;
+import pathlane.core.CallController;
+import pathlane.core.Scheduler;
+import pathlane.link.Dialer;
+import pathlane.link.Protocol;
+
+/** The platform's front of a call controller: callers, session servers and the event bus. */
+public final class PlatformFront {
+
+    private final CallController controller;
+    private final BooleanSupplier ready;
+
+    /** Starts with the events that the configuration holds; {@code ready} is asked at each test. */
+    public PlatformFront(NodeConfig config, Dialer dialer, Scheduler scheduler, BooleanSupplier ready) {
+        this.ready = ready;
+        controller = new CallController(config.settings(), config.seed(), scheduler,
+                line -> new ServerLink(line, config.settings(), this::controller, dialer, scheduler));
+        ServerList.known(config).forEach(event -> controller.listed(event.whole(), event.lines()));
+        if (config.bus() != null) {
+            new BusFeed(config.bus(), config.knownOffset(), dialer, scheduler,
+                    event -> controller.listed(event.whole(), event.lines())).start();
+        }
+    }
+
+    public CallController controller() {
+        return controller;
+    }
+
+    /** The state machine for a connection that callers have opened. */
+    public Protocol accept() {
+        return new CallerSession(controller, ready);
+    }
+}
--- a/src/main/java/pathlane/platform/ServerLink.java
+++ b/src/main/java/pathlane/platform/ServerLink.java
@@ -76,7 +76,7 @@
     }
 
     @Override
-    public void setUp(SetUp setUp, Duration patience) {
+    public void setUp(SetUp setUp, Duration patience, boolean mayHaveRun) {
         byte[] bytes = new Message(Message.SET_UP, setUp.id())
                 .with(Message.CLASS, settings.classes().get(setUp.callClass()).name())
                 .with(Message.PATIENCE, Long.toString(Math.max(1, patience.toMillis())))
@@ -99,7 +99,7 @@
     }
 
     @Override
-    public void release(String call, Ending how) {
+    public void release(String call, Ending how, byte[] content) {
         byte[] bytes = new Message(Message.RELEASE, call).withCause(Cause.ofRelease(how)).bytes();
         if (up()) {
             session.connection.write(bytes);
@@ -118,7 +118,8 @@
     private void endWaiting() {
         List<String> ended = List.copyOf(waitingSetUps.keySet());
         waitingSetUps.clear();
-        ended.forEach(call -> controller.get().released(server.id(), call, Ending.UNREACHABLE));
+        ended.forEach(call -> controller.get().released(server.id(), call, Ending.UNREACHABLE,
+                Duration.ZERO));
     }
 
     @Override
@@ -135,7 +136,8 @@
         endWaiting();
         List<String> broken = List.copyOf(out);
         out.clear();
-        broken.forEach(call -> controller.get().released(server.id(), call, end.outcome()));
+        broken.forEach(call -> controller.get().released(server.id(), call, end.outcome(),
+                Duration.ZERO));
     }
 
     /** One connection to the server. */
@@ -182,7 +184,7 @@
                 case Message.RELEASE -> {
                     out.remove(call);
                     controller.get().released(server.id(), call,
-                            Cause.ending(message.cause(), message.text(Message.NOTE)));
+                            Cause.ending(message.cause(), message.text(Message.NOTE)), Duration.ZERO);
                 }
                 case Message.PROGRESS, Message.RELEASE_HEARD, Message.TEST_RESULT -> { }
                 case Message.GROUP_STATE -> groupState(message);
--- /dev/null
+++ b/src/test/java/pathlane/exchange/Stage.java
@@ -0,0 +1,205 @@
+package pathlane.exchange;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+import static org.junit.jupiter.api.Assertions.fail;
+
+import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.HexFormat;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.SplittableRandom;
+import java.util.function.Supplier;
+import pathlane.config.DiameterConfig;
+import pathlane.config.NodeConfig;
+import pathlane.core.ConnectionEnd;
+import pathlane.core.Scheduler;
+import pathlane.diameter.DiameterFront;
+import pathlane.link.Connection;
+import pathlane.link.Dialer;
+import pathlane.link.Protocol;
+import pathlane.platform.PlatformFront;
+
+/**
+ * Plays one exchange file against a front, in virtual time and without a socket. Lines:
+ * {@code open NAME} a caller's connection; {@code accept|refuse|silent PORT} what becomes of a dial;
+ * {@code NAME > bytes} the other side writes; {@code NAME < bytes} the program has written just that next;
+ * {@code NAME ends END} the other side ends it; {@code NAME closed END} the program has closed it;
+ * {@code no dial}; {@code wait MS}. Before each input and wait, all that the program wrote must have been named.
+ */
+final class Stage implements Scheduler, Dialer {
+
+    private record Due(Instant at, long order, Runnable task) implements Comparable<Due> {
+        @Override
+        public int compareTo(Due other) {
+            return at.equals(other.at) ? Long.compare(order, other.order) : at.compareTo(other.at);
+        }
+    }
+
+    private static final class Line implements Connection {
+        final Protocol protocol;
+        final Deque<byte[]> written = new ArrayDeque<>();
+        ConnectionEnd closed;
+
+        Line(Protocol protocol) {
+            this.protocol = protocol;
+        }
+
+        @Override
+        public void write(byte[] bytes) {
+            assertTrue(closed == null, "written after its close");
+            written.add(bytes);
+        }
+
+        @Override
+        public void close(ConnectionEnd why) {
+            if (closed == null) {
+                closed = why;
+            }
+        }
+
+        @Override
+        public String remote() {
+            return "stage";
+        }
+    }
+
+    private final PriorityQueue<Due> timers = new PriorityQueue<>();
+    private final Map<Integer, Deque<Protocol>> dials = new HashMap<>();
+    private final Map<String, Line> lines = new HashMap<>();
+    private final Supplier<Protocol> callers;
+    private Instant now = Instant.parse("2026-01-01T00:00:00Z");
+    private long order;
+    private String at = "the start";
+
+    Stage(boolean diameter, String config) {
+        if (diameter) {
+            DiameterFront front = new DiameterFront(DiameterConfig.parse(config), 7, this, this,
+                    new SplittableRandom(7));
+            callers = front::accept;
+        } else {
+            PlatformFront front = new PlatformFront(NodeConfig.parse(config), this, this, () -> true);
+            callers = front::accept;
+        }
+    }
+
+    void play(Iterable<String> script) {
+        int number = 0;
+        for (String raw : script) {
+            number++;
+            at = "line " + number + ": " + raw;
+            String line = raw.strip();
+            if (!line.isEmpty() && !line.startsWith("#")) {
+                step(line.split(" +", 3));
+            }
+        }
+        at = "the end";
+        nothingUnnamed();
+    }
+
+    private void step(String[] words) {
+        if (words[0].equals("wait")) {
+            nothingUnnamed();
+            until(now.plusMillis(Long.parseLong(words[1])));
+        } else if (words[0].equals("open")) {
+            nothingUnnamed();
+            connect(words[1], callers.get());
+        } else if (words[0].equals("no")) {
+            assertTrue(dials.values().stream().allMatch(Deque::isEmpty), () -> "a dial at " + at);
+        } else if (words[0].equals("accept") || words[0].equals("refuse") || words[0].equals("silent")) {
+            nothingUnnamed();
+            Protocol dialled = dials.getOrDefault(Integer.parseInt(words[1]), new ArrayDeque<>()).poll();
+            assertTrue(dialled != null, () -> "no dial at " + at);
+            if (words[0].equals("accept")) {
+                connect(words[1], dialled);
+            } else {
+                dialled.closed(words[0].equals("refuse") ? ConnectionEnd.REFUSED : ConnectionEnd.DIAL_TIMED_OUT);
+            }
+        } else {
+            exchange(lines.get(words[0]), words[1], words[2]);
+        }
+    }
+
+    private void exchange(Line line, String what, String rest) {
+        assertTrue(line != null, () -> "no such connection at " + at);
+        switch (what) {
+            case ">" -> {
+                nothingUnnamed();
+                line.protocol.received(ByteBuffer.wrap(Notation.read(rest).bytes()));
+            }
+            case "<" -> {
+                Notation.Bytes expected = Notation.read(rest);
+                byte[] written = line.written.poll();
+                assertTrue(written != null, () -> "nothing written at " + at);
+                if (!expected.matches(written)) {
+                    assertEquals(show(expected.bytes()), show(written), at);
+                    fail(at);
+                }
+            }
+            case "ends" -> {
+                nothingUnnamed();
+                line.protocol.closed(ConnectionEnd.valueOf(rest));
+            }
+            case "closed" -> {
+                assertEquals(ConnectionEnd.valueOf(rest), line.closed, at);
+                line.protocol.closed(line.closed);
+            }
+            default -> fail("can't read " + at);
+        }
+    }
+
+    private void connect(String name, Protocol protocol) {
+        Line line = new Line(protocol);
+        lines.put(name, line);
+        protocol.opened(line);
+    }
+
+    private void nothingUnnamed() {
+        lines.forEach((name, line) -> assertTrue(line.written.isEmpty(),
+                () -> "before " + at + ", " + name + " was written " + show(line.written.peek())));
+    }
+
+    private static String show(byte[] bytes) {
+        String text = new String(bytes, java.nio.charset.StandardCharsets.ISO_8859_1).replaceAll("[^ -~]", ".");
+        return HexFormat.of().formatHex(bytes) + " " + text;
+    }
+
+    private void until(Instant time) {
+        while (!timers.isEmpty() && !timers.peek().at().isAfter(time)) {
+            Due due = timers.poll();
+            now = due.at().isAfter(now) ? due.at() : now;
+            due.task().run();
+        }
+        now = time;
+    }
+
+    @Override
+    public Instant now() {
+        return now;
+    }
+
+    @Override
+    public Duration lag() {
+        return Duration.ZERO;
+    }
+
+    @Override
+    public Timer after(Duration delay, Runnable task) {
+        assertFalse(delay.isNegative() && delay.toMillis() < 0, "a timer in the past");
+        Due due = new Due(now.plus(delay), order++, task);
+        timers.add(due);
+        return () -> timers.remove(due);
+    }
+
+    @Override
+    public void dial(InetSocketAddress address, Duration timeout, Protocol protocol) {
+        dials.computeIfAbsent(address.getPort(), port -> new ArrayDeque<>()).add(protocol);
+    }
+}
