--- a/src/test/java/pathlane/exchange/Notation.java
+++ b/src/test/java/pathlane/exchange/Notation.java
@@ -3,13 +3,14 @@
 import java.io.ByteArrayOutputStream;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
+import java.util.Map;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 
 /**
  * The bytes of exchange files: hex, "text", {@code {2 ...}} with a length of two bytes before it, {@code <code
  * ...>} a mandatory AVP, {@code [flags command application hop end ...]} a Diameter message, u32:7 a number of
- * four bytes, ?? any byte, ----- any four bytes.
+ * four bytes, ?? any byte, ----- any four bytes, $a any four bytes that are kept, and later those again.
  */
 final class Notation {
 
@@ -22,19 +23,31 @@
             }
             return same;
         }
+
+        /** Keeps what stands where names were given: there the mask is nought and the byte is the name. */
+        void keep(byte[] other, Map<Character, byte[]> kept) {
+            for (int i = 0; i < bytes.length; i++) {
+                if (mask[i] == 0 && bytes[i] != 0) {
+                    kept.put((char) bytes[i], java.util.Arrays.copyOfRange(other, i, i + 4));
+                    i += 3;
+                }
+            }
+        }
     }
 
     private static final Pattern TOKEN =
-            Pattern.compile("\"[^\"]*\"|\\{\\d|<\\d+|\\[\\w+ \\d+ \\d+ \\S+ \\S+|[}>\\]]|u32:\\d+|[-?0-9a-f]+");
+            Pattern.compile("\"[^\"]*\"|\\{\\d|<\\d+|\\[\\w+ \\d+ \\d+ \\S+ \\S+|[}>\\]]|u32:\\d+|\\$[a-z]|[-?0-9a-f]+");
 
     private final Matcher tokens;
+    private final Map<Character, byte[]> kept;
 
-    private Notation(String text) {
+    private Notation(String text, Map<Character, byte[]> kept) {
         tokens = TOKEN.matcher(text);
+        this.kept = kept;
     }
 
-    static Bytes read(String text) {
-        return new Notation(text).group("");
+    static Bytes read(String text, Map<Character, byte[]> kept) {
+        return new Notation(text, kept).group("");
     }
 
     private Bytes group(String end) {
@@ -65,7 +78,12 @@
         return new Bytes(bytes, mask);
     }
 
-    private static Bytes hex(String token) {
+    private Bytes hex(String token) {
+        if (token.startsWith("$")) {
+            byte[] value = kept.get(token.charAt(1));
+            byte name = (byte) token.charAt(1);
+            return value != null ? sure(value) : new Bytes(new byte[] {name, name, name, name}, new byte[4]);
+        }
         String digits = token.equals("-----") ? "????????" : token;
         byte[] bytes = new byte[digits.length() / 2];
         byte[] mask = new byte[bytes.length];
@@ -97,7 +115,7 @@
         return join(sure(head), content, (4 - length % 4) % 4);
     }
 
-    private static Bytes message(String[] head, Bytes avps) {
+    private Bytes message(String[] head, Bytes avps) {
         byte[] begin = ByteBuffer.allocate(12).putInt(1 << 24 | 20 + avps.bytes.length)
                 .putInt(Integer.parseInt(head[0], 16) << 24 | Integer.parseInt(head[1]))
                 .putInt(Integer.parseInt(head[2])).array();
--- a/src/test/java/pathlane/exchange/Stage.java
+++ b/src/test/java/pathlane/exchange/Stage.java
@@ -32,7 +32,7 @@
  * {@code open NAME} a caller's connection; {@code accept|refuse|silent PORT} what becomes of a dial;
  * {@code NAME > bytes} the other side writes; {@code NAME < bytes} the program has written just that next;
  * {@code NAME ends END} the other side ends it; {@code NAME closed END} the program has closed it;
- * {@code no dial}; {@code wait MS}. Before each input and wait, all that the program wrote must have been named.
+ * {@code NAME answers watchdogs} as a Diameter peer that is well; {@code no dial}; {@code wait MS}. Before each input and wait, all that the program wrote must have been named.
  */
 final class Stage implements Scheduler, Dialer {
 
@@ -43,11 +43,14 @@
         }
     }
 
-    private static final class Line implements Connection {
+    private final class Line implements Connection {
         final Protocol protocol;
         final Deque<byte[]> written = new ArrayDeque<>();
         ConnectionEnd closed;
 
+        boolean answersWatchdogs;
+        Instant lastWritten;
+
         Line(Protocol protocol) {
             this.protocol = protocol;
         }
@@ -55,7 +58,15 @@
         @Override
         public void write(byte[] bytes) {
             assertTrue(closed == null, "written after its close");
+            HexFormat hex = HexFormat.of();
+            if (answersWatchdogs && hex.formatHex(bytes, 4, 8).equals("80000118")) {
+                byte[] answer = Notation.read("[00 280 0 " + hex.formatHex(bytes, 12, 16) + " "
+                        + hex.formatHex(bytes, 16, 20) + " <268 u32:2001>]", kept).bytes();
+                after(Duration.ZERO, () -> protocol.received(ByteBuffer.wrap(answer)));
+                return;
+            }
             written.add(bytes);
+            lastWritten = now;
         }
 
         @Override
@@ -74,6 +85,7 @@
     private final PriorityQueue<Due> timers = new PriorityQueue<>();
     private final Map<Integer, Deque<Protocol>> dials = new HashMap<>();
     private final Map<String, Line> lines = new HashMap<>();
+    private final Map<Character, byte[]> kept = new HashMap<>();
     private final Supplier<Protocol> callers;
     private Instant now = Instant.parse("2026-01-01T00:00:00Z");
     private long order;
@@ -132,17 +144,19 @@
         switch (what) {
             case ">" -> {
                 nothingUnnamed();
-                line.protocol.received(ByteBuffer.wrap(Notation.read(rest).bytes()));
+                line.protocol.received(ByteBuffer.wrap(Notation.read(rest, kept).bytes()));
             }
             case "<" -> {
-                Notation.Bytes expected = Notation.read(rest);
+                Notation.Bytes expected = Notation.read(rest, kept);
                 byte[] written = line.written.poll();
                 assertTrue(written != null, () -> "nothing written at " + at);
                 if (!expected.matches(written)) {
                     assertEquals(show(expected.bytes()), show(written), at);
                     fail(at);
                 }
+                expected.keep(written, kept);
             }
+            case "answers" -> line.answersWatchdogs = true;
             case "ends" -> {
                 nothingUnnamed();
                 line.protocol.closed(ConnectionEnd.valueOf(rest));
@@ -163,7 +177,8 @@
 
     private void nothingUnnamed() {
         lines.forEach((name, line) -> assertTrue(line.written.isEmpty(),
-                () -> "before " + at + ", " + name + " was written " + show(line.written.peek())));
+                () -> "before " + at + ", " + name + " was written " + show(line.written.peek()) + " at "
+                        + line.lastWritten));
     }
 
     private static String show(byte[] bytes) {
