Platform exchanges; bad input under a set-up ends it; idle connections close first

The exchanges found: a release without a cause from a session server struck its set-up out before the fault was seen, so the attempt hung until its time-out (ServerLink.message: out.remove came before Cause.ending); a call whose dial timed out after 500 ms was refused with a second left, for its time to be held had run since its arrival (Logic.Setup.holdUntil). A call that comes back is now held anew.

Also: connections without traffic are closed at nine tenths of the idle time, README, architecture, on-call and example pages.

--- /dev/null
+++ b/example/ToyServer.java
@@ -0,0 +1,73 @@
+import java.io.DataInputStream;
+import java.io.DataOutputStream;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.ByteBuffer;
+import java.util.Timer;
+import java.util.TimerTask;
+
+/** A toy session server: each set-up stands after 50 ms and is over 2 s later. Start: java ToyServer.java 5001 */
+public final class ToyServer {
+
+    private static final int SET_UP = 1;
+    private static final int ANSWER = 9;
+    private static final int RELEASE = 12;
+    private static final byte[] DESCRIPTION = {(byte) 174, 0, 2, 'o', 'k'};
+    private static final byte[] OVER = {(byte) 171, 0, 1, 16};
+    private static final Timer LATER = new Timer(true);
+
+    public static void main(String[] args) throws IOException {
+        int port = Integer.parseInt(args[0]);
+        try (ServerSocket server = new ServerSocket(port, 50, InetAddress.getLoopbackAddress())) {
+            System.out.println("toy session server on " + port);
+            while (true) {
+                Socket socket = server.accept();
+                new Thread(() -> serve(socket)).start();
+            }
+        }
+    }
+
+    private static void serve(Socket socket) {
+        try (socket) {
+            DataInputStream in = new DataInputStream(socket.getInputStream());
+            DataOutputStream out = new DataOutputStream(socket.getOutputStream());
+            while (true) {
+                byte[] message = new byte[in.readUnsignedShort()];
+                in.readFully(message);
+                long call = ByteBuffer.wrap(message).getLong(1);
+                System.out.printf("%016x: message of type %d%n", call, message[0]);
+                if (message[0] == SET_UP) {
+                    after(50, () -> send(out, ANSWER, call, DESCRIPTION));
+                    after(2050, () -> send(out, RELEASE, call, OVER));
+                }
+            }
+        } catch (IOException e) {
+            System.out.println("connection closed");
+        }
+    }
+
+    private static void after(int millis, Runnable task) {
+        LATER.schedule(new TimerTask() {
+            @Override
+            public void run() {
+                task.run();
+            }
+        }, millis);
+    }
+
+    private static void send(DataOutputStream out, int type, long call, byte[] parameters) {
+        try {
+            synchronized (out) {
+                out.writeShort(1 + Long.BYTES + parameters.length);
+                out.writeByte(type);
+                out.writeLong(call);
+                out.write(parameters);
+                out.flush();
+            }
+        } catch (IOException e) {
+            System.out.printf("%016x: the call controller has gone%n", call);
+        }
+    }
+}
--- a/src/main/java/pathlane/core/ConnectionEnd.java
+++ b/src/main/java/pathlane/core/ConnectionEnd.java
@@ -25,9 +25,7 @@
     /** The peers agreed to part. */
     DISCONNECTED(Ending.RESET),
     /** We closed it: the server has gone from the list. */
-    DELISTED(Ending.RESET),
-    /** We closed it: this program is ending. */
-    SHUTDOWN(Ending.RESET);
+    DELISTED(Ending.RESET);
 
     private final Ending outcome;
 
--- a/src/main/java/pathlane/decision/Logic.java
+++ b/src/main/java/pathlane/decision/Logic.java
@@ -314,6 +314,7 @@
                 || call.mayHaveRun && !call.callClass().repeatable()) {
             finish(now, call);
         } else {
+            call.freeAt = now;
             call.holdUntil = call.holdUntil();
             held.add(call);
         }
@@ -509,6 +510,7 @@
         boolean judged;
         double rankedBy;
         double holdUntil;
+        double freeAt;
         final double lateFrom;
         final double worth;
         final double lateWorth;
@@ -557,7 +559,7 @@
 
         /** Held while it can still stand within its aim, but not so long that an own stall could lose it. */
         private double holdUntil() {
-            double from = Math.max(arrivedAt, notBefore);
+            double from = Math.max(Math.max(arrivedAt, notBefore), freeAt);
             double most = arrivedAt + asked.graceMs() * (1 - HOLD_SHARE);
             double patience = Math.min(asked.graceMs() * HOLD_SHARE, callClass().aimMs() * MARGIN);
             return Math.min(most, from + patience);
--- a/src/main/java/pathlane/platform/ServerLink.java
+++ b/src/main/java/pathlane/platform/ServerLink.java
@@ -4,6 +4,7 @@
 import java.lang.System.Logger.Level;
 import java.nio.ByteBuffer;
 import java.time.Duration;
+import java.time.Instant;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -29,6 +30,8 @@
 public final class ServerLink implements ServerPort {
 
     private static final Logger LOG = System.getLogger("servers");
+    /** An idle connection is closed here at this part of the time after which the other side closes it. */
+    private static final int IDLE_PERCENT = 90;
     private static final Duration REDIAL_FIRST = Duration.ofMillis(100);
     private static final Duration REDIAL_MOST = Duration.ofSeconds(1);
 
@@ -43,6 +46,7 @@
     private final Map<String, byte[]> waitingReleases = new LinkedHashMap<>();
     /** Set-ups written and not yet at an end. */
     private final Set<String> out = new LinkedHashSet<>();
+    private final Duration idleAfter;
     private Duration redial = REDIAL_FIRST;
     private Session session;
     private boolean closed;
@@ -52,6 +56,7 @@
                       Scheduler scheduler) {
         this.server = server;
         this.name = serverName(server.id());
+        this.idleAfter = settings.idleClose().multipliedBy(IDLE_PERCENT).dividedBy(100);
         this.settings = settings;
         this.controller = controller;
         this.dialer = dialer;
@@ -84,7 +89,7 @@
                 .with(Message.DESCRIPTION, setUp.description()).bytes();
         if (up()) {
             out.add(setUp.id());
-            session.connection.write(bytes);
+            session.write(bytes);
         } else {
             waitingSetUps.put(setUp.id(), bytes);
             dial();
@@ -94,7 +99,7 @@
     @Override
     public void giveUp(String call) {
         if (waitingSetUps.remove(call) == null && out.remove(call) && up()) {
-            session.connection.write(new Message(Message.RELEASE, call).withCause(Cause.OVER).bytes());
+            session.write(new Message(Message.RELEASE, call).withCause(Cause.OVER).bytes());
         }
     }
 
@@ -102,7 +107,7 @@
     public void release(String call, Ending how, byte[] content) {
         byte[] bytes = new Message(Message.RELEASE, call).withCause(Cause.ofRelease(how)).bytes();
         if (up()) {
-            session.connection.write(bytes);
+            session.write(bytes);
         } else {
             waitingReleases.put(call, bytes);
             dial();
@@ -145,6 +150,7 @@
 
         private final FrameAssembler assembler = Message.assembler();
         private Connection connection;
+        private Instant used;
 
         @Override
         public void opened(Connection up) {
@@ -154,6 +160,8 @@
             }
             connection = up;
             redial = REDIAL_FIRST;
+            used = scheduler.now();
+            scheduler.after(idleAfter, this::closeIfIdle);
             LOG.log(Level.INFO, "server {0} at {1} is up", name, up.remote());
             waitingReleases.values().forEach(up::write);
             waitingReleases.clear();
@@ -162,8 +170,27 @@
             waitingSetUps.clear();
         }
 
+        /** Guards against set-ups that cross the other side's close of a connection that idled too long. */
+        private void closeIfIdle() {
+            if (session != this) {
+                return;
+            }
+            Duration left = Duration.between(scheduler.now(), used.plus(idleAfter));
+            if (left.compareTo(Duration.ZERO) > 0 || !out.isEmpty()) {
+                scheduler.after(left.compareTo(REDIAL_MOST) > 0 ? left : REDIAL_MOST, this::closeIfIdle);
+            } else {
+                connection.close(ConnectionEnd.IDLE);
+            }
+        }
+
+        void write(byte[] bytes) {
+            used = scheduler.now();
+            connection.write(bytes);
+        }
+
         @Override
         public void received(ByteBuffer bytes) {
+            used = scheduler.now();
             try {
                 assembler.feed(bytes, frame -> message(Message.read(frame)));
             } catch (BadInput e) {
@@ -182,9 +209,10 @@
                     controller.get().answered(server.id(), call, description == null ? new byte[0] : description);
                 }
                 case Message.RELEASE -> {
+                    // Read before the set-up is struck out: bad input must still end it with the connection.
+                    Ending how = Cause.ending(message.cause(), message.text(Message.NOTE));
                     out.remove(call);
-                    controller.get().released(server.id(), call,
-                            Cause.ending(message.cause(), message.text(Message.NOTE)), Duration.ZERO);
+                    controller.get().released(server.id(), call, how, Duration.ZERO);
                 }
                 case Message.PROGRESS, Message.RELEASE_HEARD, Message.TEST_RESULT -> { }
                 case Message.GROUP_STATE -> groupState(message);
