--- a/src/main/java/pathlane/Main.java
+++ b/src/main/java/pathlane/Main.java
@@ -43,6 +43,7 @@
     }
 
     private static void logPlainly() {
+        System.setProperty("java.util.logging.manager", SteadyLog.class.getName());
         System.setProperty("java.util.logging.SimpleFormatter.format", "%1$tF %1$tT.%1$tL %4$s %3$s: %5$s%6$s%n");
     }
 
--- a/src/main/java/pathlane/Node.java
+++ b/src/main/java/pathlane/Node.java
@@ -64,9 +64,10 @@
                 built.completeExceptionally(e);
             }
         });
+        InetSocketAddress bound;
         try {
             front = built.get();
-            network.listen(listen, front.callers());
+            bound = network.listen(listen, front.callers());
         } catch (ExecutionException e) {
             loop.close();
             throw new IllegalArgumentException(e.getCause().getMessage(), e);
@@ -75,7 +76,7 @@
             throw new IllegalArgumentException(e.getMessage(), e);
         }
         Runtime.getRuntime().addShutdownHook(new Thread(this::end, "end"));
-        LOG.log(Level.INFO, "call controller {0} serves on {1}", name, listen);
+        LOG.log(Level.INFO, "call controller {0} serves on {1}", name, bound);
     }
 
     /** Goes on serving until nothing more comes and all that was taken is answered. */
--- a/src/main/java/pathlane/decision/Logic.java
+++ b/src/main/java/pathlane/decision/Logic.java
@@ -433,8 +433,19 @@
         if (call.mayHaveRun && !call.callClass().repeatable()) {
             actions.fail(call.id());
         } else {
-            actions.refuse(call.id(), 0);
+            actions.refuse(call.id(), comeBackAfter(now, call));
+        }
+    }
+
+    /** The time to come back: the soonest at which what bars the call now may have passed, at any server. */
+    private double comeBackAfter(double now, Setup call) {
+        double soonest = settings.mostRetryAfterMs();
+        for (Server server : servers.values()) {
+            if (server.mode == Mode.RUNNING && call.mayGoTo(server)) {
+                soonest = Math.min(soonest, server.barredFor(now, call.kind()));
+            }
         }
+        return soonest;
     }
 
     private void callOff(Setup call) {
@@ -807,6 +818,12 @@
             return out < 1 + seenOut && (out + 1) * x < limit && oldest(now) < limit;
         }
 
+        /** How long pauses, the gap and the answers that are due keep a class from this server. */
+        double barredFor(double now, int callClass) {
+            double gap = gapped[callClass] ? nextPass[callClass] - now : 0;
+            return Math.max(Math.max(blockedUntil - now, gap), unanswered.size() * x);
+        }
+
         /** A set-up ended unanswered: lost if the server answered a later one, or soon answers promptly. */
         void unheard(double now, Setup call) {
             unheardAt = now;
--- a/src/main/java/pathlane/net/Network.java
+++ b/src/main/java/pathlane/net/Network.java
@@ -4,7 +4,6 @@
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.UnpooledByteBufAllocator;
 import io.netty.channel.AdaptiveRecvByteBufAllocator;
-import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
@@ -41,11 +40,12 @@
     }
 
     /**
-     * Listens on this address only; each connection gets a state machine of its own. The channel closes it.
+     * Listens on this address only; each connection gets a state machine of its own. Returns
+     * the address, with the port that was given out where none was asked for.
      *
      * @throws IllegalArgumentException where the address can't be had
      */
-    public AutoCloseable listen(InetSocketAddress address, Supplier<Protocol> protocols) {
+    public InetSocketAddress listen(InetSocketAddress address, Supplier<Protocol> protocols) {
         ServerBootstrap server = new ServerBootstrap().group(loop.netty()).channel(NioServerSocketChannel.class)
                 .option(ChannelOption.SO_BACKLOG, BACKLOG).option(ChannelOption.SO_REUSEADDR, true)
                 .childOption(ChannelOption.TCP_NODELAY, true)
@@ -71,8 +71,7 @@
         if (!bound.isSuccess()) {
             throw new IllegalArgumentException("can't listen on " + address + ": " + bound.cause().getMessage());
         }
-        Channel channel = bound.channel();
-        return () -> channel.close().awaitUninterruptibly();
+        return (InetSocketAddress) bound.channel().localAddress();
     }
 
     @Override
