Diameter: updates within a session are passed on; unanswered requests don't pile up

A Credit-Control client asks for more within a session: updates were answered 5004. They now go to the session's server and their answers come back; undelivered ones are answered 3002 when the class's patience is over. Found on reading: a request given up and never answered was kept for as long as its connection lasted, and closed client connections stayed in the front's list; both are let go now.

--- a/src/main/java/pathlane/core/CallController.java
+++ b/src/main/java/pathlane/core/CallController.java
@@ -183,6 +183,24 @@
         return true;
     }
 
+    /** Whether a call stands. */
+    public boolean stands(String id) {
+        Call call = calls.get(id);
+        return call != null && call.standing;
+    }
+
+    /** A caller has something for the server of a call that stands; false where it can't be passed on now. */
+    public boolean pass(String id, byte[] content) {
+        return stands(id) && calls.get(id).server.port.pass(id, content);
+    }
+
+    /** A server answered what was passed on. */
+    public void passedBack(long serverId, String id, byte[] content) {
+        if (stands(id) && calls.get(id).server == servers.get(serverId)) {
+            calls.get(id).caller.passBack(id, content);
+        }
+    }
+
     /** A caller releases a call that is not known: one from before this program's start, at whichever server. */
     public void releaseEverywhere(String id) {
         if (!over.containsKey(id)) {
--- a/src/main/java/pathlane/core/CallerPort.java
+++ b/src/main/java/pathlane/core/CallerPort.java
@@ -18,6 +18,9 @@
     /** A call that stood is over. */
     void release(String call, Ending how);
 
+    /** What a server answered to something passed on within a call that stands. */
+    default void passBack(String call, byte[] content) { }
+
     /** Whether this is a way to the callers of another port, or, for null, of one that isn't known. */
     default boolean reaches(CallerPort other) {
         return true;
--- a/src/main/java/pathlane/core/ServerPort.java
+++ b/src/main/java/pathlane/core/ServerPort.java
@@ -20,6 +20,11 @@
     /** A call that stands there is released; the content is the caller's, empty where there is none. */
     void release(String call, Ending how, byte[] content);
 
+    /** Passes on something within a call that stands; false where it can't be sent now. */
+    default boolean pass(String call, byte[] content) {
+        return false;
+    }
+
     /** The server takes nothing new: what has not left yet comes back, what runs goes on. */
     void drain();
 
--- a/src/main/java/pathlane/diameter/ClientPeer.java
+++ b/src/main/java/pathlane/diameter/ClientPeer.java
@@ -1,12 +1,13 @@
 package pathlane.diameter;
 
+import java.nio.ByteBuffer;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
-import java.nio.ByteBuffer;
 import pathlane.config.DiameterConfig;
 import pathlane.core.CallController;
 import pathlane.core.CallerPort;
@@ -22,6 +23,7 @@
 final class ClientPeer implements CallerPort, PeerSession.Handler, Watchdog.Actions {
 
     private static final int INITIAL = 1;
+    private static final int UPDATE = 2;
     private static final int TERMINATION = 3;
 
     private final CallController controller;
@@ -31,10 +33,15 @@
     private final Scheduler scheduler;
     private final RandomGenerator random;
     private final Map<String, DiameterMessage> unanswered = new HashMap<>();
+    /** Updates without an answer, by their ids for the whole way. */
+    private final Map<Integer, DiameterMessage> updates = new HashMap<>();
+    private final Consumer<ClientPeer> gone;
     private PeerSession session;
 
+    /** {@code gone} hears that the connection has ended. */
     ClientPeer(CallController controller, DiameterConfig config, LocalNode local, Scheduler scheduler,
-               RandomGenerator random) {
+               RandomGenerator random, Consumer<ClientPeer> gone) {
+        this.gone = gone;
         this.controller = controller;
         this.config = config;
         this.local = local;
@@ -73,6 +80,7 @@
         Avp type = request.require(Avp.CC_REQUEST_TYPE);
         switch (type.number()) {
             case INITIAL -> setUp(call, request);
+            case UPDATE -> update(call, request);
             case TERMINATION -> {
                 boolean known = controller.callerReleased(call, forwarded(request).bytes());
                 from.send(answer(request, known ? ResultCode.SUCCESS : ResultCode.UNKNOWN_SESSION_ID,
@@ -83,8 +91,7 @@
     }
 
     private void setUp(String call, DiameterMessage request) {
-        Avp service = request.find(Avp.SERVICE_IDENTIFIER);
-        DiameterConfig.ServiceClass asked = config.classOf(service == null ? -1 : service.number());
+        DiameterConfig.ServiceClass asked = serviceOf(request);
         Avp wanted = request.find(Avp.DESTINATION_HOST);
         unanswered.put(call, request);
         boolean taken = controller.setUp(new SetUp(call, asked.index(), number(call, request), asked.patience(),
@@ -96,6 +103,32 @@
         }
     }
 
+    /** An update goes to the server at which the session stands, and its answer comes back; or the client hears why. */
+    private void update(String call, DiameterMessage request) {
+        if (!controller.stands(call)) {
+            session.send(answer(request, ResultCode.UNKNOWN_SESSION_ID, Duration.ZERO));
+            return;
+        }
+        int id = request.endToEnd();
+        updates.put(id, request);
+        if (controller.pass(call, forwarded(request).bytes())) {
+            scheduler.after(serviceOf(request).patience(), () -> undelivered(id, request));
+        } else {
+            undelivered(id, request);
+        }
+    }
+
+    private void undelivered(int id, DiameterMessage request) {
+        if (updates.remove(id, request) && session.isOpen()) {
+            session.send(answer(request, ResultCode.UNABLE_TO_DELIVER, Duration.ZERO));
+        }
+    }
+
+    private DiameterConfig.ServiceClass serviceOf(DiameterMessage request) {
+        Avp service = request.find(Avp.SERVICE_IDENTIFIER);
+        return config.classOf(service == null ? -1 : service.number());
+    }
+
     /** The subscriber, or the call itself where none is named. */
     private static String number(String call, DiameterMessage request) {
         Avp subscription = request.find(Avp.SUBSCRIPTION_ID);
@@ -131,8 +164,10 @@
     @Override
     public void closed(PeerSession ended, ConnectionEnd end) {
         watchdog.stop();
+        gone.accept(this);
         if (session != null) {
             unanswered.clear();
+            updates.clear();
             controller.callerClosed(this);
         }
     }
@@ -148,8 +183,20 @@
 
     @Override
     public void answer(String call, byte[] description) {
-        DiameterMessage request = unanswered.remove(call);
-        DiameterMessage answer = DiameterMessage.read(ByteBuffer.wrap(description));
+        sendBack(unanswered.remove(call), DiameterMessage.read(ByteBuffer.wrap(description)));
+    }
+
+    @Override
+    public void passBack(String call, byte[] content) {
+        DiameterMessage answer = DiameterMessage.read(ByteBuffer.wrap(content));
+        DiameterMessage request = updates.remove(answer.endToEnd());
+        if (request != null) {
+            sendBack(request, answer);
+        }
+    }
+
+    /** A server's answer goes back unchanged but for the ids, which are those of the request. */
+    private void sendBack(DiameterMessage request, DiameterMessage answer) {
         session.send(new DiameterMessage(answer.flags(), answer.command(), answer.application(),
                 request.hopByHop(), request.endToEnd(), answer.avps()));
     }
--- a/src/main/java/pathlane/diameter/DiameterFront.java
+++ b/src/main/java/pathlane/diameter/DiameterFront.java
@@ -47,14 +47,14 @@
 
     /** The state machine for a connection that a client has opened. */
     public Protocol accept() {
-        ClientPeer client = new ClientPeer(controller, config, local, scheduler, random);
+        ClientPeer client = new ClientPeer(controller, config, local, scheduler, random, clients::remove);
         clients.add(client);
         return new PeerSession(false, local, scheduler, random, client);
     }
 
     /** Parts from all peers in order. */
     public void disconnect() {
-        clients.forEach(ClientPeer::disconnect);
+        List.copyOf(clients).forEach(ClientPeer::disconnect);
         servers.values().forEach(ServerPeer::disconnect);
     }
 
--- a/src/main/java/pathlane/diameter/ServerPeer.java
+++ b/src/main/java/pathlane/diameter/ServerPeer.java
@@ -34,6 +34,8 @@
 
     private static final Logger LOG = System.getLogger("diameter");
     private static final Duration DIAL_TIMEOUT = Duration.ofSeconds(2);
+    /** A request that was given up may be answered for so long; then its session is ended unheard. */
+    private static final Duration LATE_MOST = Duration.ofSeconds(60);
     private static final int TERMINATION = 3;
     private static final int ADMINISTRATIVE = 4;
     /** Ends of sessions that wait for a connection, at most. */
@@ -54,6 +56,8 @@
     private final Map<String, DiameterMessage> waitingEnds = new LinkedHashMap<>();
     /** Those of the requests without an answer that nobody waits for any more. */
     private final Set<Integer> givenUp = new HashSet<>();
+    /** Updates passed on and not answered, by hop-by-hop id: the call that each is for. */
+    private final Map<Integer, String> passed = new HashMap<>();
     private PeerSession session;
 
     ServerPeer(DiameterConfig.Peer config, LocalNode local, Duration interval, Supplier<CallController> controller,
@@ -80,12 +84,9 @@
             return;
         }
         DiameterMessage request = DiameterMessage.read(ByteBuffer.wrap(setUp.description()));
-        List<Avp> avps = new ArrayList<>(request.avps());
-        avps.removeIf(avp -> avp.code() == Avp.DESTINATION_HOST);
-        avps.add(Avp.of(Avp.DESTINATION_HOST, config.host()));
         int retransmitted = mayHaveRun ? DiameterMessage.RETRANSMITTED : 0;
         asked.put(call, request);
-        out.put(session.sendRequest(request, request.flags() | retransmitted, avps), call);
+        out.put(sendOn(request, request.flags() | retransmitted), call);
     }
 
     @Override
@@ -93,12 +94,31 @@
         // Diameter has no way to take a request back: its late answer is known by its id, and a session that
         // it opened is ended. Until then what was asked is kept.
         out.forEach((id, one) -> {
-            if (one.equals(call)) {
-                givenUp.add(id);
+            if (one.equals(call) && givenUp.add(id)) {
+                scheduler.after(LATE_MOST, () -> forget(id, call));
             }
         });
     }
 
+    /** Guards against requests that are never answered: their sessions are ended unheard, or they would pile up. */
+    private void forget(int id, String call) {
+        if (givenUp.remove(id)) {
+            out.remove(id);
+            if (!controller.get().stands(call) && !out.containsValue(call)) {
+                release(call, Ending.CANCELLED, new byte[0]);
+            }
+        }
+    }
+
+    @Override
+    public boolean pass(String call, byte[] content) {
+        boolean open = session != null && session.isOpen();
+        if (open) {
+            passed.put(sendOn(DiameterMessage.read(ByteBuffer.wrap(content))), call);
+        }
+        return open;
+    }
+
     @Override
     public void release(String call, Ending how, byte[] content) {
         DiameterMessage begun = asked.remove(call);
@@ -108,17 +128,22 @@
             return;
         }
         if (session != null && session.isOpen()) {
-            sendEnd(end);
+            sendOn(end);
         } else if (waitingEnds.size() < MOST_WAITING) {
             waitingEnds.put(call, end);
         }
     }
 
-    private void sendEnd(DiameterMessage end) {
-        List<Avp> avps = new ArrayList<>(end.avps());
+    /** Sends what belongs to a session that this peer has; returns its hop-by-hop id. */
+    private int sendOn(DiameterMessage request) {
+        return sendOn(request, request.flags());
+    }
+
+    private int sendOn(DiameterMessage request, int flags) {
+        List<Avp> avps = new ArrayList<>(request.avps());
         avps.removeIf(avp -> avp.code() == Avp.DESTINATION_HOST);
         avps.add(Avp.of(Avp.DESTINATION_HOST, config.host()));
-        session.sendRequest(end, end.flags(), avps);
+        return session.sendRequest(request, flags, avps);
     }
 
     /** The request that ends the session which this one began. */
@@ -166,7 +191,7 @@
 
     @Override
     public void opened(PeerSession up) {
-        waitingEnds.values().forEach(this::sendEnd);
+        waitingEnds.values().forEach(this::sendOn);
         waitingEnds.clear();
         watchdog.connectionUp();
     }
@@ -189,7 +214,11 @@
         String call = out.remove(answer.hopByHop());
         boolean late = givenUp.remove(answer.hopByHop());
         if (call == null) {
-            return;   // the answer to the end of a session, or to nothing
+            String update = passed.remove(answer.hopByHop());
+            if (update != null) {
+                controller.get().passedBack(config.id(), update, answer.bytes());
+            }
+            return;   // else the answer to the end of a session, or to nothing
         }
         int result = answer.find(Avp.RESULT_CODE) == null ? ResultCode.UNABLE_TO_COMPLY
                 : answer.find(Avp.RESULT_CODE).number();
@@ -221,6 +250,7 @@
         List<String> broken = List.copyOf(out.values());
         out.clear();
         givenUp.clear();
+        passed.clear();   // their clients are told when their time is up
         for (String call : broken) {
             // The request may have run: the session that it may have opened is ended on the next connection,
             // before anything new goes there.
