A server that drains is neither silent nor dead; one flush a turn of the loop

Log of a node: the draining server's connection closed as SILENT, then REFUSED, then its calls cut. Cause: a draining server stops telling its lines and closes its listener while its calls go on; ServerLink.closeIfSilent and closed() took both for death. Neither sign counts now while a server drains, unless its connection broke before the refusal.

--- a/src/main/java/pathlane/core/ConnectionEnd.java
+++ b/src/main/java/pathlane/core/ConnectionEnd.java
@@ -40,7 +40,7 @@
         return outcome;
     }
 
-    /** Whether the other side's process has shown that it isn't there: calls that stood on it are cut. */
+    /** Whether the other side's process has shown that it isn't there, unless it is known to drain. */
     public boolean provesProcessGone() {
         return this == REFUSED;
     }
--- a/src/main/java/pathlane/net/Driver.java
+++ b/src/main/java/pathlane/net/Driver.java
@@ -23,6 +23,7 @@
     private final Protocol protocol;
     private Channel channel;
     private ConnectionEnd end;
+    private boolean flushDue;
 
     Driver(Protocol protocol) {
         this.protocol = protocol;
@@ -66,7 +67,16 @@
         if (end != null) {
             return;
         }
-        channel.writeAndFlush(Unpooled.wrappedBuffer(bytes)).addListener(ChannelFutureListener.FIRE_EXCEPTION_ON_FAILURE);
+        channel.write(Unpooled.wrappedBuffer(bytes)).addListener(ChannelFutureListener.FIRE_EXCEPTION_ON_FAILURE);
+        if (!flushDue) {
+            // What one turn of the loop writes leaves together: a call to the system for each message is the
+            // dearest part of a busy node's work.
+            flushDue = true;
+            channel.eventLoop().execute(() -> {
+                flushDue = false;
+                channel.flush();
+            });
+        }
         if (channel.unsafe().outboundBuffer() != null
                 && channel.unsafe().outboundBuffer().totalPendingWriteBytes() > MOST_UNWRITTEN) {
             end = ConnectionEnd.OVERFLOW;
--- a/src/main/java/pathlane/platform/ServerLink.java
+++ b/src/main/java/pathlane/platform/ServerLink.java
@@ -56,6 +56,10 @@
     private boolean closed;
     /** Dials in vain since the server was last heard. */
     private int vainDials;
+    /** A server that drains tells no lines and takes no connections any more, and its calls go on all the same. */
+    private boolean draining;
+    /** Whether the last connection that was up broke, as it does when a process dies. */
+    private boolean broke;
 
     /** The controller is asked for late: it makes its ports itself. */
     public ServerLink(ServerLine server, Settings settings, Supplier<CallController> controller, Dialer dialer,
@@ -88,6 +92,7 @@
 
     @Override
     public void setUp(SetUp setUp, Duration patience, boolean mayHaveRun) {
+        draining = false;   // nothing new comes here while it drains
         byte[] bytes = new Message(Message.SET_UP, setUp.id())
                 .with(Message.CLASS, settings.classes().get(setUp.callClass()).name())
                 .with(Message.PATIENCE, Long.toString(Math.max(1, patience.toMillis())))
@@ -122,6 +127,7 @@
 
     @Override
     public void drain() {
+        draining = true;
         endWaiting();
     }
 
@@ -205,7 +211,7 @@
             Duration left = Duration.between(scheduler.now(), heard.plus(MOST_SILENCE));
             if (left.compareTo(Duration.ZERO) > 0) {
                 scheduler.after(left, this::closeIfSilent);
-            } else if (tellsLines) {
+            } else if (tellsLines && !draining) {
                 connection.close(ConnectionEnd.SILENT);
             } else {
                 scheduler.after(MOST_SILENCE, this::closeIfSilent);
@@ -277,8 +283,9 @@
             }
             LOG.log(Level.INFO, "server {0} is down: {1}", name, end);
             endAll(end);
+            broke = connection != null ? end == ConnectionEnd.RESET : broke;
             vainDials += end == ConnectionEnd.DIAL_TIMED_OUT ? 1 : 0;
-            if (end.provesProcessGone() || vainDials >= VAIN_DIALS) {
+            if (end.provesProcessGone() && (!draining || broke) || vainDials >= VAIN_DIALS) {
                 // Guards against calls that stood at a process that died: nobody is left to release them.
                 controller.get().serverDied(server.id());
             }
