Counters told to Graphite where the Diameter front's file asks for it

Plaintext protocol, every counter each interval over one connection, dialled again at the next interval where it ended; nothing is kept meanwhile, for counters only grow. Off unless the file has an object graphite, and never on the platform.

--- a/src/main/java/pathlane/Node.java
+++ b/src/main/java/pathlane/Node.java
@@ -15,6 +15,7 @@
 import pathlane.core.CallController;
 import pathlane.diameter.DiameterFront;
 import pathlane.link.Protocol;
+import pathlane.metrics.GraphiteReporter;
 import pathlane.net.EventLoop;
 import pathlane.net.Network;
 import pathlane.platform.PlatformFront;
@@ -51,6 +52,10 @@
         SplittableRandom random = new SplittableRandom();
         node.serve(config.host(), config.listen(), () -> {
             DiameterFront diameter = new DiameterFront(config, random.nextLong(), node.network, node.loop, random);
+            if (config.graphite() != null) {
+                new GraphiteReporter(config.graphite(), diameter.controller().counters(), node.network, node.loop)
+                        .start();
+            }
             return new Front(diameter.controller(), diameter::accept, diameter::disconnect);
         });
     }
--- a/src/main/java/pathlane/config/DiameterConfig.java
+++ b/src/main/java/pathlane/config/DiameterConfig.java
@@ -11,9 +11,14 @@
 import java.util.ArrayList;
 import java.util.List;
 
-/** What the Diameter front is told: who it is, where it listens, its server peers and its classes. */
+/**
+ * What the Diameter front is told: who it is, where it listens, its server peers and its classes.
+ *
+ * @param graphite where counters are told, or null
+ */
 public record DiameterConfig(String host, String realm, InetSocketAddress listen, Duration watchdog,
-                             List<Peer> peers, List<ServiceClass> classes, Settings settings) {
+                             List<Peer> peers, List<ServiceClass> classes, Settings settings,
+                             GraphiteConfig graphite) {
 
     /** RFC 3539 allows no less. */
     private static final Duration LEAST_WATCHDOG = Duration.ofSeconds(6);
@@ -72,7 +77,7 @@
         }
         DiameterConfig config = new DiameterConfig(NodeConfig.text(root, "host"), NodeConfig.text(root, "realm"),
                 NodeConfig.address(NodeConfig.text(root, "listen")), watchdog, List.copyOf(peers),
-                List.copyOf(classes), settings);
+                List.copyOf(classes), settings, GraphiteConfig.read(root));
         config.classOf(-1);
         return config;
     }
--- a/src/test/java/pathlane/exchange/Stage.java
+++ b/src/test/java/pathlane/exchange/Stage.java
@@ -25,6 +25,7 @@
 import pathlane.link.Connection;
 import pathlane.link.Dialer;
 import pathlane.link.Protocol;
+import pathlane.metrics.GraphiteReporter;
 import pathlane.platform.PlatformFront;
 
 /**
@@ -95,9 +96,13 @@
 
     Stage(boolean diameter, String config) {
         if (diameter) {
-            DiameterFront front = new DiameterFront(DiameterConfig.parse(config), 7, this, this,
+            DiameterConfig parsed = DiameterConfig.parse(config);
+            DiameterFront front = new DiameterFront(parsed, 7, this, this,
                     new SplittableRandom(7));
             callers = front::accept;
+            if (parsed.graphite() != null) {
+                new GraphiteReporter(parsed.graphite(), front.controller().counters(), this, this).start();
+            }
         } else {
             PlatformFront front = new PlatformFront(NodeConfig.parse(config), this, this, () -> true);
             callers = front::accept;
