SIGHUP moves the event bus feed to the new address instead of ending the program

Nothing in the program minded the signal, so the JVM's own handler ended it (Main.serve, Node.serve); BusFeed held its address as a constant (BusFeed.java:38) and redialled whatever ended.

Now Node installs a handler before the front is built, reads RELAY_CONFIG again on the loop and hands it to PlatformFront.reload; BusFeed.follow dials the new address from the last event on and closes the old session, which neither tells nor redials any more. A file that can't be used, or names no bus, is logged in one sentence and changes nothing. The Diameter front logs that it reads its file at its start alone.

Checked: exchange bus-moves (fails without the guard on replaced sessions), smoke with three SIGHUPs, one just before SIGTERM (fails without the handler: the program never says that it follows the new bus).

Ruled out: two feeds at once until the old one is silent. The bus tells nothing more at the old address, and the last event's number asks for all that came meanwhile.

--- a/src/main/java/pathlane/Main.java
+++ b/src/main/java/pathlane/Main.java
@@ -6,8 +6,6 @@
 import java.io.OutputStream;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
-import pathlane.config.DiameterConfig;
-import pathlane.config.NodeConfig;
 import pathlane.sim.Wire;
 
 /** Starts the program: {@code serve} is a real call controller on the platform,
@@ -28,7 +26,7 @@
                 case "serve" -> serve();
                 case "diameter FILE" -> {
                     logPlainly();
-                    Node.start(DiameterConfig.read(Path.of(args[1])));
+                    Node.startDiameter(Path.of(args[1]));
                 }
                 case "simhost" -> simulate();
                 default -> {
@@ -53,7 +51,7 @@
         if (file == null) {
             throw new IllegalArgumentException("RELAY_CONFIG does not name a configuration");
         }
-        Node.start(NodeConfig.read(Path.of(file)));
+        Node.startPlatform(Path.of(file));
     }
 
     private static void simulate() throws IOException {
--- a/src/main/java/pathlane/Node.java
+++ b/src/main/java/pathlane/Node.java
@@ -3,6 +3,7 @@
 import java.lang.System.Logger;
 import java.lang.System.Logger.Level;
 import java.net.InetSocketAddress;
+import java.nio.file.Path;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.SplittableRandom;
@@ -19,6 +20,7 @@
 import pathlane.net.EventLoop;
 import pathlane.net.Network;
 import pathlane.platform.PlatformFront;
+import sun.misc.Signal;
 
 /** One real call controller: puts the parts together and sees to an orderly end. */
 final class Node {
@@ -28,26 +30,30 @@
     private static final Duration STILL_COMING = Duration.ofMillis(750);
     private static final Duration END_CHECK = Duration.ofMillis(20);
 
-    /** A front: who decides its calls, what meets its callers, and how it parts from its peers at the end. */
-    private record Front(CallController controller, Supplier<Protocol> callers, Runnable part) { }
+    /** A front: who decides its calls, what meets its callers, and how it parts from its peers at the end, and what it
+     * does when its configuration is to be read again. */
+    private record Front(CallController controller, Supplier<Protocol> callers, Runnable part, Runnable reload) { }
 
     private final EventLoop loop = new EventLoop();
     private final Network network = new Network(loop);
     private final CountDownLatch ended = new CountDownLatch(1);
-    private Front front;
+    private volatile Front front;
     private volatile boolean ending;
 
     /** Starts a call controller on the platform; it serves until the process is asked to end. */
-    static void start(NodeConfig config) {
+    static void startPlatform(Path file) {
+        NodeConfig config = NodeConfig.read(file);
         Node node = new Node();
         node.serve(config.name(), config.listen(), () -> {
             PlatformFront platform = new PlatformFront(config, node.network, node.loop, () -> !node.ending);
-            return new Front(platform.controller(), platform::accept, () -> { });
+            return new Front(platform.controller(), platform::accept, () -> { },
+                    () -> platform.reload(NodeConfig.read(file)));
         });
     }
 
     /** Starts a call controller for Diameter peers; it serves until the process is asked to end. */
-    static void start(DiameterConfig config) {
+    static void startDiameter(Path file) {
+        DiameterConfig config = DiameterConfig.read(file);
         Node node = new Node();
         SplittableRandom random = new SplittableRandom();
         node.serve(config.host(), config.listen(), () -> {
@@ -56,23 +62,27 @@
                 new GraphiteReporter(config.graphite(), diameter.controller().counters(), node.network, node.loop)
                         .start();
             }
-            return new Front(diameter.controller(), diameter::accept, diameter::disconnect);
+            return new Front(diameter.controller(), diameter::accept, diameter::disconnect, () -> {
+                throw new IllegalArgumentException("the Diameter front reads its file at its start alone");
+            });
         });
     }
 
     private void serve(String name, InetSocketAddress listen, Supplier<Front> build) {
+        // Guards against the end that a JVM comes to at SIGHUP unless somebody minds it.
+        Signal.handle(new Signal("HUP"), signal -> loop.execute(this::reload));
         CompletableFuture<Front> built = new CompletableFuture<>();
         loop.execute(() -> {
             try {
-                built.complete(build.get());
+                front = build.get();
+                built.complete(front);
             } catch (RuntimeException e) {
                 built.completeExceptionally(e);
             }
         });
         InetSocketAddress bound;
         try {
-            front = built.get();
-            bound = network.listen(listen, front.callers());
+            bound = network.listen(listen, built.get().callers());
         } catch (ExecutionException e) {
             loop.close();
             throw new IllegalArgumentException(e.getCause().getMessage(), e);
@@ -84,6 +94,19 @@
         LOG.log(Level.INFO, "call controller {0} serves on {1}", name, bound);
     }
 
+    /** Reads the configuration again; one that can't be used changes nothing. */
+    private void reload() {
+        if (front == null) {
+            return;   // it could not be built; the program ends
+        }
+        try {
+            front.reload().run();
+            LOG.log(Level.INFO, "configuration read again");
+        } catch (IllegalArgumentException e) {
+            LOG.log(Level.WARNING, "configuration not read again, the old one stays: {0}", e.getMessage());
+        }
+    }
+
     /** Goes on serving until nothing more comes and all that was taken is answered. */
     private void end() {
         loop.execute(() -> {
--- a/src/main/java/pathlane/core/ConnectionEnd.java
+++ b/src/main/java/pathlane/core/ConnectionEnd.java
@@ -27,7 +27,9 @@
     /** The peers agreed to part. */
     DISCONNECTED(Ending.RESET),
     /** We closed it: the server has gone from the list. */
-    DELISTED(Ending.RESET);
+    DELISTED(Ending.RESET),
+    /** We closed it: the configuration that was read again names another address. */
+    REPLACED(Ending.RESET);
 
     private final Ending outcome;
 
--- a/src/main/java/pathlane/platform/BusFeed.java
+++ b/src/main/java/pathlane/platform/BusFeed.java
@@ -12,7 +12,10 @@
 import pathlane.link.Dialer;
 import pathlane.link.Protocol;
 
-/** Follows the event bus from the last event on, over as many connections as it takes. */
+/**
+ * Follows the event bus from the last event on, over as many connections as it takes. The bus may move to another
+ * address; the numbers of its events go on.
+ */
 public final class BusFeed {
 
     private static final Logger LOG = System.getLogger("bus");
@@ -27,25 +30,40 @@
     /** The bus says something each second; an event counts as told 7 s on, whether it arrived or not. */
     private static final Duration MOST_SILENCE = Duration.ofMillis(2500);
 
-    private final InetSocketAddress bus;
     private final Dialer dialer;
     private final Scheduler scheduler;
     private final Consumer<ServerList> events;
+    private InetSocketAddress bus;
     private long last;
     private boolean wasUp;
+    /** The one connection that is followed or dialled; whatever another one still does concerns nobody. */
+    private Session session;
 
     /** {@code last} is the number of the last event that is known. */
-    public BusFeed(InetSocketAddress bus, long last, Dialer dialer, Scheduler scheduler,
-                   Consumer<ServerList> events) {
-        this.bus = bus;
+    public BusFeed(long last, Dialer dialer, Scheduler scheduler, Consumer<ServerList> events) {
         this.last = last;
         this.dialer = dialer;
         this.scheduler = scheduler;
         this.events = events;
     }
 
-    public void start() {
-        dialer.dial(bus, DIAL_TIMEOUT, new Session());
+    /** Follows the bus at this address from now on, and lets go of the one that was followed before. */
+    public void follow(InetSocketAddress address) {
+        if (address.equals(bus)) {
+            return;
+        }
+        LOG.log(Level.INFO, "event bus is at {0}", address);
+        bus = address;
+        Session before = session;
+        dial();
+        if (before != null && before.connection != null) {
+            before.connection.close(ConnectionEnd.REPLACED);
+        }
+    }
+
+    private void dial() {
+        session = new Session();
+        dialer.dial(bus, DIAL_TIMEOUT, session);
     }
 
     private final class Session implements Protocol {
@@ -56,6 +74,10 @@
 
         @Override
         public void opened(Connection up) {
+            if (session != this) {
+                up.close(ConnectionEnd.REPLACED);
+                return;
+            }
             connection = up;
             wasUp = true;
             LOG.log(Level.INFO, "event bus is up, from event {0}", Long.toString(last));
@@ -109,11 +131,18 @@
             if (silence != null) {
                 silence.cancel();
             }
+            if (session != this) {
+                return;   // guards against a bus that was let go being dialled again, beside the new one
+            }
             if (wasUp) {
                 LOG.log(Level.WARNING, "event bus is down: {0}; dialling again", end);
             }
             wasUp = false;
-            scheduler.after(REDIAL, BusFeed.this::start);
+            scheduler.after(REDIAL, () -> {
+                if (session == this) {
+                    dial();
+                }
+            });
         }
     }
 }
--- a/src/main/java/pathlane/platform/PlatformFront.java
+++ b/src/main/java/pathlane/platform/PlatformFront.java
@@ -12,6 +12,7 @@
 
     private final CallController controller;
     private final BooleanSupplier ready;
+    private final BusFeed feed;
 
     /** Starts with the events that the configuration holds; {@code ready} is asked at each test. */
     public PlatformFront(NodeConfig config, Dialer dialer, Scheduler scheduler, BooleanSupplier ready) {
@@ -19,12 +20,26 @@
         controller = new CallController(config.settings(), config.seed(), scheduler,
                 line -> new ServerLink(line, config.settings(), this::controller, dialer, scheduler));
         ServerList.known(config).forEach(event -> controller.listed(event.whole(), event.lines()));
+        feed = new BusFeed(config.knownOffset(), dialer, scheduler,
+                event -> controller.listed(event.whole(), event.lines()));
         if (config.bus() != null) {
-            new BusFeed(config.bus(), config.knownOffset(), dialer, scheduler,
-                    event -> controller.listed(event.whole(), event.lines())).start();
+            feed.follow(config.bus());
         }
     }
 
+    /**
+     * The configuration was read again: the event bus is followed where it names it now. All else is told once, at
+     * the start.
+     *
+     * @throws IllegalArgumentException where it names none; the old one is followed on
+     */
+    public void reload(NodeConfig fresh) {
+        if (fresh.bus() == null) {
+            throw new IllegalArgumentException("'bus' is missing");
+        }
+        feed.follow(fresh.bus());
+    }
+
     public CallController controller() {
         return controller;
     }
--- a/src/test/java/pathlane/exchange/Stage.java
+++ b/src/test/java/pathlane/exchange/Stage.java
@@ -16,6 +16,7 @@
 import java.util.Map;
 import java.util.PriorityQueue;
 import java.util.SplittableRandom;
+import java.util.function.Consumer;
 import java.util.function.Supplier;
 import pathlane.config.DiameterConfig;
 import pathlane.config.NodeConfig;
@@ -34,6 +35,7 @@
  * {@code NAME > bytes} the other side writes; {@code NAME < bytes} the program has written just that next;
  * {@code NAME ends END} the other side ends it; {@code NAME closed END} the program has closed it;
  * {@code NAME answers watchdogs} as a Diameter peer that is well; {@code no dial PORT}; {@code wait MS};
+ * {@code bus PORT} the configuration is read again and names this port;
  * {@code lag MS} what comes next has waited so long for an own stall. Before each input and wait, all that the program wrote must have been named.
  */
 final class Stage implements Scheduler, Dialer {
@@ -89,6 +91,7 @@
     private final Map<String, Line> lines = new HashMap<>();
     private final Map<Character, byte[]> kept = new HashMap<>();
     private final Supplier<Protocol> callers;
+    private final Consumer<String> busMoves;
     private Instant now = Instant.parse("2026-01-01T00:00:00Z");
     private long order;
     private Duration lag = Duration.ZERO;
@@ -100,12 +103,14 @@
             DiameterFront front = new DiameterFront(parsed, 7, this, this,
                     new SplittableRandom(7));
             callers = front::accept;
+            busMoves = port -> fail("there is no bus");
             if (parsed.graphite() != null) {
                 new GraphiteReporter(parsed.graphite(), front.controller().counters(), this, this).start();
             }
         } else {
             PlatformFront front = new PlatformFront(NodeConfig.parse(config), this, this, () -> true);
             callers = front::accept;
+            busMoves = port -> front.reload(NodeConfig.parse(config.replaceAll("(\"bus\": \".*?:)\\d+", "$1" + port)));
         }
     }
 
@@ -129,6 +134,9 @@
             until(now.plusMillis(Long.parseLong(words[1])));
         } else if (words[0].equals("lag")) {
             lag = Duration.ofMillis(Long.parseLong(words[1]));
+        } else if (words[0].equals("bus")) {
+            nothingUnnamed();
+            busMoves.accept(words[1]);
         } else if (words[0].equals("open")) {
             nothingUnnamed();
             connect(words[1], callers.get());
