Limits for callers: no hijacked call, no unusable set-up sent on, no connection for good

Checked with a trace of every caller's message (a probe in CallerSession, since taken out): - each bad client that was served had sent the id of an open call with another number and description on another connection; CallController.setUp made it that call's caller. Where the call stood, it heard nothing at all. - each server that closed had just answered an error to a set-up with id 0 that we had passed on. - those left without word had said nothing, asked for a test alone, sent half a message, or released what nobody knows. Ruled out: a server's own wrong 'served' (every such answer had the usual caller's description), and a late accept (the limit Network.MOST_ACCEPTED = 800 lay above the descriptor limit of 256 to 384, so it never acted).

Now: the most connections come from limits.sockets (CallerLimits), and the one idle the longest without an open set-up gives way (Admission); silent, unfinished and idle connections are closed; SetUpReader fails at once what no server could use; an id that is open or stands can't be taken over, nor an open call given up from elsewhere; releases of unknown calls have a rate; warnings that callers cause have one too; a connection being closed ends although its other side does not read. Diameter: the same rules in PeerSession and ClientPeer, where a byte-for-byte repetition from the same client is a failover and takes the answer along.

--- a/src/main/java/pathlane/Node.java
+++ b/src/main/java/pathlane/Node.java
@@ -32,7 +32,8 @@
 
     /** A front: who decides its calls, what meets its callers, and how it parts from its peers at the end, and what it
      * does when its configuration is to be read again. */
-    private record Front(CallController controller, Supplier<Protocol> callers, Runnable part, Runnable reload) { }
+    private record Front(CallController controller, Supplier<Protocol> callers, int mostConnections, Runnable part,
+                         Runnable reload) { }
 
     private final EventLoop loop = new EventLoop();
     private final Network network = new Network(loop);
@@ -46,7 +47,7 @@
         Node node = new Node();
         node.serve(config.name(), config.listen(), () -> {
             PlatformFront platform = new PlatformFront(config, node.network, node.loop, () -> !node.ending);
-            return new Front(platform.controller(), platform::accept, () -> { },
+            return new Front(platform.controller(), platform::accept, config.callers().connections(), () -> { },
                     () -> platform.reload(NodeConfig.read(file)));
         });
     }
@@ -62,7 +63,8 @@
                 new GraphiteReporter(config.graphite(), diameter.controller().counters(), node.network, node.loop)
                         .start();
             }
-            return new Front(diameter.controller(), diameter::accept, diameter::disconnect, () -> {
+            return new Front(diameter.controller(), diameter::accept, config.callers().connections(),
+                    diameter::disconnect, () -> {
                 throw new IllegalArgumentException("the Diameter front reads its file at its start alone");
             });
         });
@@ -82,7 +84,7 @@
         });
         InetSocketAddress bound;
         try {
-            bound = network.listen(listen, built.get().callers());
+            bound = network.listen(listen, built.get().callers(), front.mostConnections());
         } catch (ExecutionException e) {
             loop.close();
             throw new IllegalArgumentException(e.getCause().getMessage(), e);
--- /dev/null
+++ b/src/main/java/pathlane/config/CallerLimits.java
@@ -0,0 +1,35 @@
+package pathlane.config;
+
+import java.time.Duration;
+
+/**
+ * What callers may take up: their connections together, and what one connection may do before it is closed. A caller
+ * is owed a word or a close within 3 s, so each span is well inside that, but for {@code idle}.
+ *
+ * @param connections callers' connections at most; when there are no more, the one idle the longest gives way
+ * @param unfinished how long a message may take from its first byte to its last
+ * @param unused how long a connection may stay silent on which no call ever stood, with no set-up open
+ * @param idle how long one may stay silent on which calls stood, with none open or standing
+ * @param faults set-ups that can't be used, on one connection; the next one closes it
+ * @param unknownReleases releases of unknown calls that one connection may bring at once
+ * @param unknownReleaseEvery one more of these is allowed each time so long has passed
+ */
+public record CallerLimits(int connections, Duration unfinished, Duration unused, Duration idle, int faults,
+                           int unknownReleases, Duration unknownReleaseEvery) {
+
+    /** Where a configuration does not say how many descriptors the program may hold. */
+    static final int USUAL_DESCRIPTORS = 1024;
+    /** Kept for the program itself, session servers with a connection that is just closing, and the event bus. */
+    private static final int RESERVED = 64;
+    /** Callers get this part of the descriptors even where that leaves less than the reserve. */
+    private static final int LEAST_PART = 4;
+
+    /** The limits of a program that may hold so many descriptors. */
+    static CallerLimits within(int descriptors) {
+        if (descriptors < LEAST_PART) {
+            throw new IllegalArgumentException("limits.sockets is too small: " + descriptors);
+        }
+        return new CallerLimits(Math.max(descriptors - RESERVED, descriptors / LEAST_PART), Duration.ofMillis(1500),
+                Duration.ofSeconds(2), Duration.ofSeconds(6), 8, 100, Duration.ofMillis(20));
+    }
+}
--- a/src/main/java/pathlane/config/DiameterConfig.java
+++ b/src/main/java/pathlane/config/DiameterConfig.java
@@ -14,11 +14,12 @@
 /**
  * What the Diameter front is told: who it is, where it listens, its server peers and its classes.
  *
+ * @param callers what clients may take up, from the descriptors in {@code limits}
  * @param graphite where counters are told, or null
  */
 public record DiameterConfig(String host, String realm, InetSocketAddress listen, Duration watchdog,
                              List<Peer> peers, List<ServiceClass> classes, Settings settings,
-                             GraphiteConfig graphite) {
+                             CallerLimits callers, GraphiteConfig graphite) {
 
     /** RFC 3539 allows no less. */
     private static final Duration LEAST_WATCHDOG = Duration.ofSeconds(6);
@@ -77,7 +78,7 @@
         }
         DiameterConfig config = new DiameterConfig(NodeConfig.text(root, "host"), NodeConfig.text(root, "realm"),
                 NodeConfig.address(NodeConfig.text(root, "listen")), watchdog, List.copyOf(peers),
-                List.copyOf(classes), settings, GraphiteConfig.read(root));
+                List.copyOf(classes), settings, NodeConfig.callers(root), GraphiteConfig.read(root));
         config.classOf(-1);
         return config;
     }
--- a/src/main/java/pathlane/config/NodeConfig.java
+++ b/src/main/java/pathlane/config/NodeConfig.java
@@ -13,10 +13,11 @@
  *
  * @param seed for random numbers; new with each start
  * @param bus the event bus, or null where there is none
+ * @param callers what callers may take up, from the descriptors in {@code limits}
  * @param knownOffset the number of the last event in {@code knownEvents}
  */
 public record NodeConfig(String name, InetSocketAddress listen, long seed, InetSocketAddress bus,
-                         long knownOffset, JsonArray knownEvents, Settings settings) {
+                         CallerLimits callers, long knownOffset, JsonArray knownEvents, Settings settings) {
 
     private static final int HEX = 16;
     private static final int MOST_PORT = 65_535;
@@ -46,11 +47,18 @@
         JsonObject known = SettingsReader.object(root, "known");
         return new NodeConfig(text(root, "name"), address(text(root, "listen")),
                 Long.parseUnsignedLong(text(root, "seed"), HEX),
-                root.has("bus") ? address(text(root, "bus")) : null,
+                root.has("bus") ? address(text(root, "bus")) : null, callers(root),
                 known.has("offset") ? known.get("offset").getAsLong() : 0, SettingsReader.array(known, "batch"),
                 SettingsReader.read(SettingsReader.object(root, "settings")));
     }
 
+    /** The limits of callers, from the object {@code limits} where there is one. */
+    static CallerLimits callers(JsonObject root) {
+        JsonObject limits = SettingsReader.object(root, "limits");
+        return CallerLimits.within(limits.has("sockets") ? limits.get("sockets").getAsInt()
+                : CallerLimits.USUAL_DESCRIPTORS);
+    }
+
     static String text(JsonObject from, String key) {
         if (!from.has(key)) {
             throw new IllegalArgumentException("'" + key + "' is missing");
--- a/src/main/java/pathlane/core/CallController.java
+++ b/src/main/java/pathlane/core/CallController.java
@@ -4,6 +4,7 @@
 import java.time.Instant;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Iterator;
@@ -48,12 +49,20 @@
     private final Map<String, Call> calls = new HashMap<>();
     private final Map<Long, Server> servers = new TreeMap<>();
     private final Map<String, Instant> over = new LinkedHashMap<>();
-    private final List<CallerPort> callers = new ArrayList<>();
+    private final Map<CallerPort, Held> callers = new LinkedHashMap<>();
     private final Map<String, Unrelayed> unrelayed = new LinkedHashMap<>();
     private final ArrayDeque<Runnable> deferred = new ArrayDeque<>();
     private boolean inModule;
     private static final byte[] NOTHING = {};
 
+    /** What a caller's connection has in calls. */
+    private static final class Held {
+        int open;
+        int standing;
+        /** Whether a call of its ever stood. */
+        boolean served;
+    }
+
     /** A release that found no connection to its caller. */
     private record Unrelayed(CallerPort own, Ending how) { }
 
@@ -117,7 +126,7 @@
 
     /** A caller can be reached; what found none to go to goes there. */
     public void callerOpened(CallerPort caller) {
-        callers.add(caller);
+        callers.put(caller, new Held());
         unrelayed.entrySet().removeIf(waiting -> {
             boolean reached = caller.reaches(waiting.getValue().own());
             if (reached) {
@@ -129,17 +138,41 @@
 
     /** A caller's connection has ended: its open set-ups are given up; calls that stand are tied to none. */
     public void callerClosed(CallerPort caller) {
-        callers.remove(caller);
-        List<Call> left = calls.values().stream().filter(c -> c.caller == caller && !c.standing).toList();
-        left.forEach(this::leave);
+        Held held = callers.remove(caller);
+        if (held != null && held.open > 0) {
+            List<Call> left = calls.values().stream().filter(c -> c.caller == caller && !c.standing).toList();
+            left.forEach(this::leave);
+        }
     }
 
-    /** A caller asks for a call; the final answer goes to the port. False: the call stands already. */
+    /** Set-ups of a caller's connection that wait for their final answer. */
+    public int openOn(CallerPort caller) {
+        return callers.containsKey(caller) ? callers.get(caller).open : 0;
+    }
+
+    /** Whether this call waits for its final answer, and it goes to this caller. */
+    public boolean isOpenOn(String id, CallerPort caller) {
+        Call call = calls.get(id);
+        return call != null && !call.standing && call.caller == caller;
+    }
+
+    /** Calls that stand and were set up on a caller's connection. */
+    public int standingOn(CallerPort caller) {
+        return callers.containsKey(caller) ? callers.get(caller).standing : 0;
+    }
+
+    /** Whether a call of this caller's connection ever stood. */
+    public boolean served(CallerPort caller) {
+        return callers.containsKey(caller) && callers.get(caller).served;
+    }
+
+    /**
+     * A caller asks for a call; the final answer goes to the port. False: a call with this id is open or stands.
+     * Guards that call against whoever else uses its id: its answer would go to them.
+     */
     public boolean setUp(SetUp setUp, CallerPort caller) {
-        Call known = calls.get(setUp.id());
-        if (known != null) {
-            known.caller = known.standing ? known.caller : caller;   // sent once more after a crossing close
-            return !known.standing;
+        if (calls.containsKey(setUp.id())) {
+            return false;
         }
         counters.count(Name.SET_UPS);
         Instant now = scheduler.now();
@@ -147,6 +180,7 @@
         Duration left = setUp.patience().minus(scheduler.lag());
         Call call = new Call(setUp, now.plus(left), caller);
         calls.put(setUp.id(), call);
+        held(caller).open++;
         // Guards rule one whatever the module does: at the deadline an open call is answered.
         call.guard = scheduler.after(left, () -> answerOverdue(call));
         tell(at -> module.arrived(at, new Gateway.Call(setUp.id(), setUp.callClass(), setUp.number(),
@@ -154,6 +188,29 @@
         return true;
     }
 
+    /**
+     * The same set-up comes once more from the same caller over another connection; its answer goes there from now
+     * on. False where it is not the same, or not open.
+     */
+    public boolean takeOver(SetUp again, CallerPort caller) {
+        Call call = calls.get(again.id());
+        if (call == null || call.standing || !caller.reaches(call.caller)
+                || !Arrays.equals(call.asked.description(), again.description())) {
+            return false;
+        }
+        held(call.caller).open--;
+        held(caller).open++;
+        call.caller.takenOver(again.id());
+        call.caller = caller;
+        return true;
+    }
+
+    /** What the connection of a caller has; one that has ended counts for nothing. */
+    private Held held(CallerPort caller) {
+        Held held = callers.get(caller);
+        return held == null ? new Held() : held;
+    }
+
     private void answerOverdue(Call call) {
         if (calls.get(call.asked.id()) == call && !call.standing) {
             counters.count(Name.GUARD_ANSWERED);
@@ -164,12 +221,12 @@
     }
 
     /**
-     * A caller gives a set-up up, or releases a call that stands: which of the two, its state tells. False:
-     * no such call is known.
+     * A caller gives a set-up up, or releases a call that stands: which of the two, its state tells. False: no such
+     * call is known, or it is open on another connection, which alone may give it up, or another caller's.
      */
-    public boolean callerReleased(String id, byte[] content) {
+    public boolean callerReleased(String id, byte[] content, CallerPort from) {
         Call call = calls.get(id);
-        if (call == null) {
+        if (call == null || (call.standing ? !from.reaches(call.caller) : call.caller != from)) {
             return false;
         }
         if (call.standing) {
@@ -203,7 +260,7 @@
 
     /** A caller releases a call that is not known: one from before this program's start, at whichever server. */
     public void releaseEverywhere(String id) {
-        if (!over.containsKey(id)) {
+        if (!over.containsKey(id) && !calls.containsKey(id)) {
             servers.values().stream().filter(server -> server.line.mode() != Mode.GONE)
                     .forEach(server -> server.port.release(id, Ending.COMPLETED, NOTHING));
         }
@@ -239,6 +296,10 @@
         call.patience.cancel();
         call.guard.cancel();
         call.standing = true;
+        Held held = held(call.caller);
+        held.open--;
+        held.standing++;
+        held.served = true;
         call.caller.answer(id, description);
         double waited = Millis.of(Duration.between(call.sentAt, scheduler.now()));
         tell(at -> module.stands(at, id, call.attempts - 1, serverId, waited));
@@ -296,10 +357,15 @@
         report(call, how, true);
     }
 
-    /** Releases towards the call's own connection, else any, else the next that opens. */
+    /** Releases towards the call's own connection, else the latest on which calls stood, else any, else the next. */
     private void relay(CallerPort own, String id, Ending how) {
-        CallerPort way = callers.contains(own) ? own
-                : callers.stream().filter(caller -> caller.reaches(own)).reduce((a, b) -> b).orElse(null);
+        CallerPort way = callers.containsKey(own) ? own : null;
+        if (way == null) {
+            List<CallerPort> reaching = callers.keySet().stream().filter(caller -> caller.reaches(own)).toList();
+            // Guards releases against connections that were opened and never used: nobody may be listening there.
+            way = reaching.stream().filter(this::served).reduce((a, b) -> b)
+                    .or(() -> reaching.stream().reduce((a, b) -> b)).orElse(null);
+        }
         if (way != null) {
             way.release(id, how);
         } else if (unrelayed.size() < MOST_UNRELAYED) {
@@ -422,6 +488,9 @@
     /** Takes a call off the table; it is remembered as over for a while. */
     private void remove(Call call) {
         calls.remove(call.asked.id());
+        Held held = held(call.caller);
+        held.open -= call.standing ? 0 : 1;
+        held.standing -= call.standing ? 1 : 0;
         Instant now = scheduler.now();
         for (Iterator<Instant> old = over.values().iterator();
                 old.hasNext() && old.next().plus(OVER_MEMORY).isBefore(now); ) {
--- a/src/main/java/pathlane/core/CallerPort.java
+++ b/src/main/java/pathlane/core/CallerPort.java
@@ -21,6 +21,9 @@
     /** What a server answered to something passed on within a call that stands. */
     default void passBack(String call, byte[] content) { }
 
+    /** The answer to a set-up goes to another connection of the same caller from now on. */
+    default void takenOver(String call) { }
+
     /** Whether this is a way to the callers of another port, or, for null, of one that isn't known. */
     default boolean reaches(CallerPort other) {
         return true;
--- a/src/main/java/pathlane/core/ConnectionEnd.java
+++ b/src/main/java/pathlane/core/ConnectionEnd.java
@@ -22,6 +22,12 @@
     IDLE(Ending.RESET),
     /** We closed it: nothing was heard on it for too long. */
     SILENT(Ending.RESET),
+    /** We closed it: a message was begun on it and not ended in time. */
+    UNFINISHED(Ending.RESET),
+    /** We closed it at once: as many are open as may be, and calls are open on all of them. */
+    TURNED_AWAY(Ending.UNREACHABLE),
+    /** We closed it: it was idle, and another connection needed its descriptor. */
+    GAVE_WAY(Ending.RESET),
     /** We closed it: its watchdogs stayed unanswered. */
     WATCHDOG_LOST(Ending.RESET),
     /** The peers agreed to part. */
--- a/src/main/java/pathlane/diameter/ClientPeer.java
+++ b/src/main/java/pathlane/diameter/ClientPeer.java
@@ -82,7 +82,7 @@
             case INITIAL -> setUp(call, request);
             case UPDATE -> update(call, request);
             case TERMINATION -> {
-                boolean known = controller.callerReleased(call, forwarded(request).bytes());
+                boolean known = controller.callerReleased(call, forwarded(request).bytes(), this);
                 from.send(answer(request, known ? ResultCode.SUCCESS : ResultCode.UNKNOWN_SESSION_ID,
                         Duration.ZERO));
             }
@@ -93,14 +93,21 @@
     private void setUp(String call, DiameterMessage request) {
         DiameterConfig.ServiceClass asked = serviceOf(request);
         Avp wanted = request.find(Avp.DESTINATION_HOST);
-        unanswered.put(call, request);
-        boolean taken = controller.setUp(new SetUp(call, asked.index(), number(call, request), asked.patience(),
-                config.cellOf(wanted == null ? "" : wanted.text()), forwarded(request).bytes()), this);
-        if (!taken) {
-            // A session that stands is not begun again.
+        SetUp setUp = new SetUp(call, asked.index(), number(call, request), asked.patience(),
+                config.cellOf(wanted == null ? "" : wanted.text()), forwarded(request).bytes());
+        DiameterMessage earlier = unanswered.put(call, request);
+        if (controller.setUp(setUp, this)) {
+            return;
+        }
+        if (earlier != null) {
+            unanswered.put(call, earlier);
+        } else if (controller.takeOver(setUp, this)) {
+            return;   // sent once more after a failover: the answer comes here
+        } else {
             unanswered.remove(call);
-            session.send(answer(request, ResultCode.UNABLE_TO_COMPLY, Duration.ZERO));
         }
+        // A session that is open or stands is not begun again, and its answer goes to nobody else.
+        session.send(answer(request, ResultCode.UNABLE_TO_COMPLY, Duration.ZERO));
     }
 
     /** An update goes to the server at which the session stands, and its answer comes back; or the client hears why. */
@@ -186,6 +193,11 @@
         sendBack(unanswered.remove(call), DiameterMessage.read(ByteBuffer.wrap(description)));
     }
 
+    @Override
+    public void takenOver(String call) {
+        unanswered.remove(call);
+    }
+
     @Override
     public void passBack(String call, byte[] content) {
         DiameterMessage answer = DiameterMessage.read(ByteBuffer.wrap(content));
--- a/src/main/java/pathlane/diameter/DiameterFrames.java
+++ b/src/main/java/pathlane/diameter/DiameterFrames.java
@@ -15,8 +15,14 @@
     private byte[] gathered = new byte[FIRST_SIZE];
     private int size;
 
-    /** Hands on each whole message; a length that can't be is a fault after which the stream is lost. */
-    void feed(ByteBuffer bytes, Consumer<ByteBuffer> messages) {
+    /** Whether a message has begun and not ended. */
+    boolean begun() {
+        return size > 0;
+    }
+
+    /** Hands on each whole message; a length that can't be is a fault after which the stream is lost. Returns how many. */
+    int feed(ByteBuffer bytes, Consumer<ByteBuffer> messages) {
+        int ended = 0;
         while (bytes.hasRemaining()) {
             int wanted = size < WORD ? WORD : length();
             int taken = Math.min(wanted - size, bytes.remaining());
@@ -28,11 +34,13 @@
             if (size > WORD && size == length()) {
                 byte[] message = Arrays.copyOf(gathered, size);
                 size = 0;
+                ended++;
                 messages.accept(ByteBuffer.wrap(message));
             } else if (size == WORD) {
                 length();   // refused before any more is gathered
             }
         }
+        return ended;
     }
 
     private int length() {
--- a/src/main/java/pathlane/diameter/DiameterFront.java
+++ b/src/main/java/pathlane/diameter/DiameterFront.java
@@ -33,7 +33,7 @@
         this.local = new LocalNode(config.host(), config.realm(), config.listen().getAddress().getAddress());
         this.controller = new CallController(config.settings(), seed, scheduler, line -> {
             DiameterConfig.Peer peer = config.peer(line.id());
-            ServerPeer port = new ServerPeer(peer, local, config.watchdog(), this::controller, dialer, scheduler,
+            ServerPeer port = new ServerPeer(peer, local, config, this::controller, dialer, scheduler,
                     random, available -> list(peer, available));
             servers.put(line.id(), port);
             return port;
@@ -49,7 +49,7 @@
     public Protocol accept() {
         ClientPeer client = new ClientPeer(controller, config, local, scheduler, random, clients::remove);
         clients.add(client);
-        return new PeerSession(false, local, scheduler, random, client);
+        return new PeerSession(false, local, config.callers(), scheduler, random, client);
     }
 
     /** Parts from all peers in order. */
--- a/src/main/java/pathlane/diameter/PeerSession.java
+++ b/src/main/java/pathlane/diameter/PeerSession.java
@@ -4,12 +4,15 @@
 import java.lang.System.Logger.Level;
 import java.nio.ByteBuffer;
 import java.time.Duration;
+import java.time.Instant;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.random.RandomGenerator;
+import pathlane.config.CallerLimits;
 import pathlane.core.ConnectionEnd;
 import pathlane.core.Scheduler;
 import pathlane.link.Connection;
+import pathlane.link.FrameDeadline;
 import pathlane.link.Protocol;
 
 /**
@@ -52,21 +55,29 @@
     private final RandomGenerator random;
     private final Handler handler;
     private final DiameterFrames frames = new DiameterFrames();
+    private final CallerLimits limits;
+    private final FrameDeadline unfinished;
     private Connection connection;
     private State state = State.CONNECTING;
     private Scheduler.Timer exchange;
+    private final Instant createdAt;
     private int nextHopByHop;
     private String peer = "?";
     private String realm = "";
 
     /** {@code dialled} where this node opened the connection and so asks first. */
-    PeerSession(boolean dialled, LocalNode local, Scheduler scheduler, RandomGenerator random, Handler handler) {
+    PeerSession(boolean dialled, LocalNode local, CallerLimits limits, Scheduler scheduler, RandomGenerator random,
+                Handler handler) {
         this.dialled = dialled;
         this.local = local;
         this.scheduler = scheduler;
         this.random = random;
         this.handler = handler;
         this.nextHopByHop = random.nextInt();
+        this.limits = limits;
+        this.unfinished = new FrameDeadline(scheduler, limits.unfinished(),
+                () -> connection.close(ConnectionEnd.UNFINISHED));
+        this.createdAt = scheduler.now();
     }
 
     boolean isOpen() {
@@ -85,16 +96,25 @@
     public void opened(Connection up) {
         connection = up;
         state = State.EXCHANGING;
-        exchange = scheduler.after(EXCHANGE_TIMEOUT, () -> connection.close(ConnectionEnd.DIAL_TIMED_OUT));
+        // Guards the descriptors against clients that connect and say nothing.
+        exchange = dialled
+                ? scheduler.after(EXCHANGE_TIMEOUT, () -> connection.close(ConnectionEnd.DIAL_TIMED_OUT))
+                : scheduler.after(limits.unused(), () -> connection.close(ConnectionEnd.IDLE));
         if (dialled) {
             send(base(DiameterMessage.CAPABILITIES_EXCHANGE, local.introduction()));
         }
     }
 
+    /** A peer that has exchanged its capabilities keeps its connection: its watchdogs tell whether it is there. */
+    @Override
+    public Instant idleSince() {
+        return state == State.OPEN ? null : createdAt;
+    }
+
     @Override
     public void received(ByteBuffer bytes) {
         try {
-            frames.feed(bytes, this::frame);
+            unfinished.fed(frames.feed(bytes, this::frame), frames.begun());
         } catch (Fault e) {
             // The stream can't be followed any further; a message that is whole is answered in frame().
             LOG.log(Level.WARNING, "peer {0} closed for bad input: {1}", peer, e.getMessage());
@@ -259,6 +279,7 @@
     @Override
     public void closed(ConnectionEnd end) {
         state = State.CLOSED;
+        unfinished.stop();
         if (exchange != null) {
             exchange.cancel();
         }
--- a/src/main/java/pathlane/link/Protocol.java
+++ b/src/main/java/pathlane/link/Protocol.java
@@ -1,6 +1,7 @@
 package pathlane.link;
 
 import java.nio.ByteBuffer;
+import java.time.Instant;
 import pathlane.core.ConnectionEnd;
 
 /**
@@ -15,6 +16,14 @@
     /** Bytes came, in pieces of any size. */
     void received(ByteBuffer bytes);
 
+    /**
+     * Since when nothing has been done here and nothing is open, so that the connection may be closed for want of
+     * descriptors; null while it may not.
+     */
+    default Instant idleSince() {
+        return null;
+    }
+
     /** The connection has ended or never came up; called once, and last. */
     void closed(ConnectionEnd end);
 }
--- a/src/main/java/pathlane/net/Driver.java
+++ b/src/main/java/pathlane/net/Driver.java
@@ -7,26 +7,33 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import java.io.IOException;
-import java.lang.System.Logger;
-import java.lang.System.Logger.Level;
+import java.io.PrintWriter;
+import java.io.StringWriter;
+import java.time.Duration;
+import java.util.concurrent.TimeUnit;
 import pathlane.core.ConnectionEnd;
 import pathlane.link.Connection;
+import pathlane.link.LimitedLog;
 import pathlane.link.Protocol;
 
 /** Reads and writes for one connection's state machine; knows no protocol. */
 final class Driver extends ChannelInboundHandlerAdapter implements Connection {
 
-    private static final Logger LOG = System.getLogger("net");
     /** More than this waiting to be written means that the other side has stopped reading. */
     private static final long MOST_UNWRITTEN = 1 << 20;
 
+    /** What was written before a close may take so long to leave; then it is dropped. */
+    private static final Duration LAST_WORDS = Duration.ofMillis(500);
+
     private final Protocol protocol;
+    private final LimitedLog log;
     private Channel channel;
     private ConnectionEnd end;
     private boolean flushDue;
 
-    Driver(Protocol protocol) {
+    Driver(Protocol protocol, LimitedLog log) {
         this.protocol = protocol;
+        this.log = log;
     }
 
     @Override
@@ -56,7 +63,9 @@
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
         if (!(cause instanceof IOException)) {
             // Guards the process against one connection: a fault in its handling ends that connection alone.
-            LOG.log(Level.ERROR, "fault while serving " + remote(), cause);
+            StringWriter trace = new StringWriter();
+            cause.printStackTrace(new PrintWriter(trace));
+            log.warn("fault while serving {0}: {1}", remote(), trace);
         }
         end = end == null ? ConnectionEnd.RESET : end;
         context.close();
@@ -89,6 +98,10 @@
         if (end == null) {
             end = why;
             channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
+            if (channel.isOpen()) {
+                // Guards against a side that does not read: its descriptor would be held for good.
+                channel.eventLoop().schedule(() -> channel.close(), LAST_WORDS.toMillis(), TimeUnit.MILLISECONDS);
+            }
         }
     }
 
--- a/src/main/java/pathlane/net/Network.java
+++ b/src/main/java/pathlane/net/Network.java
@@ -11,41 +11,39 @@
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
-import java.lang.System.Logger;
-import java.lang.System.Logger.Level;
 import java.net.ConnectException;
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.function.Supplier;
 import pathlane.core.ConnectionEnd;
+import pathlane.link.Admission;
 import pathlane.link.Dialer;
+import pathlane.link.LimitedLog;
 import pathlane.link.Protocol;
 
 /** Listens and dials for both fronts, on one event loop. */
 public final class Network implements Dialer {
 
-    private static final Logger LOG = System.getLogger("net");
     private static final int BACKLOG = 512;
     private static final int FIRST_READ = 512;
     private static final int USUAL_READ = 2048;
     private static final int LONGEST_READ = 16 * 1024;
-    /** Accepted connections at most: the limit is 1,024 descriptors, of which callers hold a third. */
-    private static final int MOST_ACCEPTED = 800;
-
     private final EventLoop loop;
-    private int accepted;
+    private final LimitedLog limitedLog;
 
     public Network(EventLoop loop) {
         this.loop = loop;
+        this.limitedLog = new LimitedLog("net", loop);
     }
 
     /**
-     * Listens on this address only; each connection gets a state machine of its own. Returns
+     * Listens on this address only; each connection gets a state machine of its own, up to so many of them. Returns
      * the address, with the port that was given out where none was asked for.
      *
      * @throws IllegalArgumentException where the address can't be had
      */
-    public InetSocketAddress listen(InetSocketAddress address, Supplier<Protocol> protocols) {
+    public InetSocketAddress listen(InetSocketAddress address, Supplier<Protocol> protocols, int most) {
+        Admission admission = new Admission(most);
         ServerBootstrap server = new ServerBootstrap().group(loop.netty()).channel(NioServerSocketChannel.class)
                 .option(ChannelOption.SO_BACKLOG, BACKLOG).option(ChannelOption.SO_REUSEADDR, true)
                 .childOption(ChannelOption.TCP_NODELAY, true)
@@ -55,16 +53,17 @@
                 .childHandler(new ChannelInitializer<SocketChannel>() {
                     @Override
                     protected void initChannel(SocketChannel channel) {
-                        if (accepted >= MOST_ACCEPTED) {
-                            // Guards the descriptors that session servers and the bus need.
-                            LOG.log(Level.WARNING, "connection from {0} turned away: {1} are open",
-                                    channel.remoteAddress(), accepted);
+                        Protocol protocol = protocols.get();
+                        Driver driver = new Driver(protocol, limitedLog);
+                        if (!admission.admit(protocol, driver)) {
+                            limitedLog.warn("connection from {0} turned away: {1} are open, all with calls",
+                                    channel.remoteAddress(), Integer.toString(admission.size()));
                             channel.close();
+                            protocol.closed(ConnectionEnd.TURNED_AWAY);
                             return;
                         }
-                        accepted++;
-                        channel.closeFuture().addListener(closed -> accepted--);
-                        channel.pipeline().addLast(new Driver(protocols.get()));
+                        channel.closeFuture().addListener(closed -> admission.ended(protocol));
+                        channel.pipeline().addLast(driver);
                     }
                 });
         ChannelFuture bound = server.bind(address).awaitUninterruptibly();
@@ -82,7 +81,7 @@
                 .option(ChannelOption.ALLOCATOR, new UnpooledByteBufAllocator(false))
                 .option(ChannelOption.RECVBUF_ALLOCATOR,
                         new AdaptiveRecvByteBufAllocator(FIRST_READ, USUAL_READ, LONGEST_READ))
-                .handler(new Driver(protocol));
+                .handler(new Driver(protocol, limitedLog));
         loop.execute(() -> client.connect(address).addListener(done -> {
             if (!done.isSuccess()) {
                 protocol.closed(end(done.cause()));
--- a/src/main/java/pathlane/platform/BadInput.java
+++ b/src/main/java/pathlane/platform/BadInput.java
@@ -5,6 +5,6 @@
     private static final long serialVersionUID = 1L;
 
     BadInput(String message) {
-        super(message);
+        super(message, null, false, false);   // bad clients throw it at will: no stack trace
     }
 }
--- a/src/main/java/pathlane/platform/CallerSession.java
+++ b/src/main/java/pathlane/platform/CallerSession.java
@@ -1,60 +1,107 @@
 package pathlane.platform;
 
-import java.lang.System.Logger;
-import java.lang.System.Logger.Level;
 import java.nio.ByteBuffer;
 import java.time.Duration;
+import java.time.Instant;
 import java.util.function.BooleanSupplier;
-import pathlane.config.Settings;
+import pathlane.config.CallerLimits;
 import pathlane.core.CallController;
 import pathlane.core.CallerPort;
 import pathlane.core.ConnectionEnd;
+import pathlane.core.Scheduler;
 import pathlane.core.SetUp;
 import pathlane.decision.Gateway.Ending;
 import pathlane.link.Connection;
+import pathlane.link.FrameDeadline;
+import pathlane.link.LimitedLog;
 import pathlane.link.Protocol;
+import pathlane.link.RateLimit;
 
-/** One connection from callers: many calls share it, each named by its id. */
+/**
+ * One connection from callers: many calls share it, each named by its id. It is closed where it breaks the protocol,
+ * asks too often for what can't be, leaves a message unfinished, or is of no use to anybody ({@link CallerLimits}).
+ */
 public final class CallerSession implements Protocol, CallerPort {
 
-    private static final Logger LOG = System.getLogger("callers");
     private static final byte[] NOTHING = {};
 
     private final CallController controller;
-    private final Settings settings;
+    private final CallerLimits limits;
+    private final Scheduler scheduler;
+    private final LimitedLog log;
     private final BooleanSupplier ready;
     private final FrameAssembler assembler = Message.assembler();
+    private final FrameDeadline unfinished;
+    private final RateLimit unknownReleases;
     private Connection connection;
+    private Scheduler.Timer idle;
+    /** When the last whole message came or left. */
+    private Instant used;
+    private int faults;
 
     /** {@code ready} is asked at each test. */
-    public CallerSession(CallController controller, BooleanSupplier ready) {
+    public CallerSession(CallController controller, CallerLimits limits, Scheduler scheduler, LimitedLog log,
+                         BooleanSupplier ready) {
         this.controller = controller;
-        this.settings = controller.settings();
+        this.limits = limits;
+        this.scheduler = scheduler;
+        this.log = log;
         this.ready = ready;
+        this.unfinished = new FrameDeadline(scheduler, limits.unfinished(),
+                () -> connection.close(ConnectionEnd.UNFINISHED));
+        this.unknownReleases = new RateLimit(limits.unknownReleases(), limits.unknownReleaseEvery(), scheduler);
+        this.used = scheduler.now();
     }
 
     @Override
     public void opened(Connection up) {
         connection = up;
         controller.callerOpened(this);
+        idle = scheduler.after(limits.unused(), this::closeIfIdle);
+    }
+
+    /**
+     * Guards the descriptors against callers that say nothing, and those that ask once and keep their connection for
+     * good. A call that stands keeps its connection: its end is told there.
+     */
+    private void closeIfIdle() {
+        Duration most = controller.served(this) ? limits.idle() : limits.unused();
+        Duration left = Duration.between(scheduler.now(), used.plus(most));
+        if (controller.openOn(this) > 0 || controller.standingOn(this) > 0) {
+            idle = scheduler.after(most, this::closeIfIdle);
+        } else if (left.compareTo(Duration.ZERO) > 0) {
+            idle = scheduler.after(left, this::closeIfIdle);
+        } else {
+            connection.close(ConnectionEnd.IDLE);
+        }
+    }
+
+    @Override
+    public Instant idleSince() {
+        return controller.openOn(this) > 0 ? null : used;
     }
 
     @Override
     public void received(ByteBuffer bytes) {
         try {
-            assembler.feed(bytes, frame -> message(Message.read(frame)));
+            unfinished.fed(assembler.feed(bytes, frame -> message(Message.read(frame))), assembler.begun());
         } catch (BadInput e) {
-            LOG.log(Level.WARNING, "caller {0} closed for bad input: {1}", connection.remote(), e.getMessage());
+            log.warn("caller {0} closed for bad input: {1}", connection.remote(), e.getMessage());
             bytes.position(bytes.limit());
             connection.close(ConnectionEnd.BAD_INPUT);
         }
     }
 
     private void message(Message message) {
+        used = scheduler.now();
         switch (message.type) {
             case Message.SET_UP -> setUp(message);
             case Message.RELEASE -> {
-                if (!controller.callerReleased(message.id(), NOTHING)) {
+                if (!controller.callerReleased(message.id(), NOTHING, this)) {
+                    if (!unknownReleases.take()) {
+                        // Guards the session servers: each of them hears of every call that nobody knows here.
+                        throw new BadInput("too many releases of unknown calls");
+                    }
                     controller.releaseEverywhere(message.id());
                 }
             }
@@ -66,32 +113,33 @@
     }
 
     private void setUp(Message message) {
-        byte[] description = message.value(Message.DESCRIPTION);
-        controller.setUp(new SetUp(message.id(), settings.classNamed(message.text(Message.CLASS)),
-                message.text(Message.NUMBER), Duration.ofMillis(whole(message.text(Message.PATIENCE))),
-                firstChoice(message.text(Message.FIGURES)), description == null ? NOTHING : description), this);
-    }
-
-    private static int firstChoice(String figures) {
-        for (String figure : figures.split(";")) {
-            if (figure.startsWith("dest:")) {
-                return (int) whole(figure.substring("dest:".length()));
-            }
+        SetUp asked;
+        try {
+            asked = SetUpReader.read(message, controller.settings());
+        } catch (SetUpReader.Unusable e) {
+            fault(message, e.getMessage());
+            return;
+        }
+        if (!controller.setUp(asked, this)) {
+            fault(message, "the id of a call that is open or stands");
         }
-        return -1;
     }
 
-    private static long whole(String text) {
-        try {
-            return Integer.parseInt(text.strip());
-        } catch (NumberFormatException e) {
-            throw new BadInput("'" + text + "' is not a whole number");
+    /** A set-up that can't be used has failed; who goes on sending such loses the connection. */
+    private void fault(Message setUp, String why) {
+        if (++faults > limits.faults() || controller.isOpenOn(setUp.id(), this)) {
+            // Where two set-ups on one connection have one id, no answer could say which it is for.
+            throw new BadInput(why);
         }
+        log.warn("caller {0}: a set-up that can't be used: {1}", connection.remote(), why);
+        fail(setUp.id());
     }
 
     @Override
     public void closed(ConnectionEnd end) {
         if (connection != null) {
+            unfinished.stop();
+            idle.cancel();
             controller.callerClosed(this);
         }
     }
@@ -100,7 +148,7 @@
 
     @Override
     public void answer(String call, byte[] description) {
-        connection.write(new Message(Message.ANSWER, call).with(Message.DESCRIPTION, description).bytes());
+        write(new Message(Message.ANSWER, call).with(Message.DESCRIPTION, description));
     }
 
     @Override
@@ -109,16 +157,21 @@
         if (comeBackAfter.toMillis() > 0) {
             refusal.with(Message.COME_BACK, Long.toString(comeBackAfter.toMillis()));
         }
-        connection.write(refusal.bytes());
+        write(refusal);
     }
 
     @Override
     public void fail(String call) {
-        connection.write(new Message(Message.RELEASE, call).withCause(Cause.FAILED).bytes());
+        write(new Message(Message.RELEASE, call).withCause(Cause.FAILED));
     }
 
     @Override
     public void release(String call, Ending how) {
-        connection.write(new Message(Message.RELEASE, call).withCause(Cause.ofRelease(how)).bytes());
+        write(new Message(Message.RELEASE, call).withCause(Cause.ofRelease(how)));
+    }
+
+    private void write(Message message) {
+        used = scheduler.now();
+        connection.write(message.bytes());
     }
 }
--- a/src/main/java/pathlane/platform/FrameAssembler.java
+++ b/src/main/java/pathlane/platform/FrameAssembler.java
@@ -25,8 +25,14 @@
         this.longest = longest;
     }
 
-    /** Takes bytes; hands on each whole frame, without its length, before the next is looked at. */
-    void feed(ByteBuffer bytes, Consumer<ByteBuffer> frames) {
+    /** Whether a frame has begun and not ended. */
+    boolean begun() {
+        return size > 0;
+    }
+
+    /** Takes bytes; hands on each whole frame, without its length, before the next is looked at. Returns how many. */
+    int feed(ByteBuffer bytes, Consumer<ByteBuffer> frames) {
+        int ended = 0;
         while (bytes.hasRemaining()) {
             int wanted = size < lengthBytes ? lengthBytes : lengthBytes + length();
             int taken = Math.min(wanted - size, bytes.remaining());
@@ -40,9 +46,11 @@
                 size = 0;
                 byte[] frame = Arrays.copyOfRange(gathered, lengthBytes, end);
                 gathered = gathered.length > longest / 2 ? new byte[FIRST_SIZE] : gathered;
+                ended++;
                 frames.accept(ByteBuffer.wrap(frame));
             }
         }
+        return ended;
     }
 
     private int length() {
--- a/src/main/java/pathlane/platform/PlatformFront.java
+++ b/src/main/java/pathlane/platform/PlatformFront.java
@@ -1,10 +1,12 @@
 package pathlane.platform;
 
 import java.util.function.BooleanSupplier;
+import pathlane.config.CallerLimits;
 import pathlane.config.NodeConfig;
 import pathlane.core.CallController;
 import pathlane.core.Scheduler;
 import pathlane.link.Dialer;
+import pathlane.link.LimitedLog;
 import pathlane.link.Protocol;
 
 /** The platform's front of a call controller: callers, session servers and the event bus. */
@@ -13,10 +15,16 @@
     private final CallController controller;
     private final BooleanSupplier ready;
     private final BusFeed feed;
+    private final CallerLimits limits;
+    private final Scheduler scheduler;
+    private final LimitedLog callerLog;
 
     /** Starts with the events that the configuration holds; {@code ready} is asked at each test. */
     public PlatformFront(NodeConfig config, Dialer dialer, Scheduler scheduler, BooleanSupplier ready) {
         this.ready = ready;
+        this.limits = config.callers();
+        this.scheduler = scheduler;
+        this.callerLog = new LimitedLog("callers", scheduler);
         controller = new CallController(config.settings(), config.seed(), scheduler,
                 line -> new ServerLink(line, config.settings(), this::controller, dialer, scheduler));
         ServerList.known(config).forEach(event -> controller.listed(event.whole(), event.lines()));
@@ -46,6 +54,6 @@
 
     /** The state machine for a connection that callers have opened. */
     public Protocol accept() {
-        return new CallerSession(controller, ready);
+        return new CallerSession(controller, limits, scheduler, callerLog, ready);
     }
 }
--- a/src/test/java/pathlane/exchange/Stage.java
+++ b/src/test/java/pathlane/exchange/Stage.java
@@ -23,6 +23,7 @@
 import pathlane.core.ConnectionEnd;
 import pathlane.core.Scheduler;
 import pathlane.diameter.DiameterFront;
+import pathlane.link.Admission;
 import pathlane.link.Connection;
 import pathlane.link.Dialer;
 import pathlane.link.Protocol;
@@ -91,6 +92,7 @@
     private final Map<String, Line> lines = new HashMap<>();
     private final Map<Character, byte[]> kept = new HashMap<>();
     private final Supplier<Protocol> callers;
+    private final Admission admission;
     private final Consumer<String> busMoves;
     private Instant now = Instant.parse("2026-01-01T00:00:00Z");
     private long order;
@@ -103,13 +105,16 @@
             DiameterFront front = new DiameterFront(parsed, 7, this, this,
                     new SplittableRandom(7));
             callers = front::accept;
+            admission = new Admission(parsed.callers().connections());
             busMoves = port -> fail("there is no bus");
             if (parsed.graphite() != null) {
                 new GraphiteReporter(parsed.graphite(), front.controller().counters(), this, this).start();
             }
         } else {
-            PlatformFront front = new PlatformFront(NodeConfig.parse(config), this, this, () -> true);
+            NodeConfig parsed = NodeConfig.parse(config);
+            PlatformFront front = new PlatformFront(parsed, this, this, () -> true);
             callers = front::accept;
+            admission = new Admission(parsed.callers().connections());
             busMoves = port -> front.reload(NodeConfig.parse(config.replaceAll("(\"bus\": \".*?:)\\d+", "$1" + port)));
         }
     }
@@ -139,7 +144,14 @@
             busMoves.accept(words[1]);
         } else if (words[0].equals("open")) {
             nothingUnnamed();
-            connect(words[1], callers.get());
+            Protocol protocol = callers.get();
+            Line line = new Line(protocol);
+            lines.put(words[1], line);
+            if (admission.admit(protocol, line)) {
+                protocol.opened(line);
+            } else {
+                line.closed = ConnectionEnd.TURNED_AWAY;
+            }
         } else if (words[0].equals("no")) {
             assertTrue(dials.getOrDefault(Integer.parseInt(words[2]), new ArrayDeque<>()).isEmpty(),
                     () -> "a dial at " + at);
@@ -181,6 +193,7 @@
             }
             case "closed" -> {
                 assertEquals(ConnectionEnd.valueOf(rest), line.closed, at);
+                admission.ended(line.protocol);
                 line.protocol.closed(line.closed);
             }
             default -> fail("can't read " + at);
