A few connections to each server; one that was overtaken or half answered is closed

The log of a node: one connection to each server, twice closed as SILENT 4 s after it went quiet, and up again at once: the server was well, the connection dead. Meanwhile all set-ups went there (ServerLink had one session), the module saw them unanswered and kept everything back. Log: a draining server closes its connection and refuses the next dials for 9 s before the list calls it gone; ServerLink.closed cut its calls only where the connection had been reset, not where it had been closed in order.

Checked: the same hour's other drains, all told gone within 1.3 s of the close, lost nothing; the late one is a list that was behind. Ruled out: releases sent to connections that had ended (the calls' own were up), a limit reached (descriptors 78 of 256).

Now up to four connections to a server share its calls, the later ones dialled only while all are busy. One on which nothing came while a set-up sent 100 ms later was answered on another is OVERTAKEN and closed; its outcome is CANCELLED, for it says nothing of the server. An answer that stops half-way ends its connection after 1 s, which a shared link without other traffic never did. A draining server that closes its last connection and refuses the next dial has stopped.

--- a/src/main/java/pathlane/core/ConnectionEnd.java
+++ b/src/main/java/pathlane/core/ConnectionEnd.java
@@ -24,6 +24,8 @@
     SILENT(Ending.RESET),
     /** We closed it: a message was begun on it and not ended in time. */
     UNFINISHED(Ending.RESET),
+    /** We closed it: the other side answered on another connection what was sent after what is out on this one. */
+    OVERTAKEN(Ending.CANCELLED),
     /** We closed it at once: as many are open as may be, and calls are open on all of them. */
     TURNED_AWAY(Ending.UNREACHABLE),
     /** We closed it: it was idle, and another connection needed its descriptor. */
--- a/src/main/java/pathlane/platform/PlatformFront.java
+++ b/src/main/java/pathlane/platform/PlatformFront.java
@@ -3,6 +3,7 @@
 import java.util.function.BooleanSupplier;
 import pathlane.config.CallerLimits;
 import pathlane.config.NodeConfig;
+import pathlane.config.ServerLimits;
 import pathlane.core.CallController;
 import pathlane.core.Scheduler;
 import pathlane.link.Dialer;
@@ -26,7 +27,7 @@
         this.scheduler = scheduler;
         this.callerLog = new LimitedLog("callers", scheduler);
         controller = new CallController(config.settings(), config.seed(), scheduler,
-                line -> new ServerLink(line, config.settings(), this::controller, dialer, scheduler));
+                line -> new ServerLink(line, config.settings(), ServerLimits.USUAL, this::controller, dialer, scheduler));
         ServerList.known(config).forEach(event -> controller.listed(event.whole(), event.lines()));
         feed = new BusFeed(config.knownOffset(), dialer, scheduler,
                 event -> controller.listed(event.whole(), event.lines()));
--- a/src/main/java/pathlane/platform/ServerLink.java
+++ b/src/main/java/pathlane/platform/ServerLink.java
@@ -5,12 +5,13 @@
 import java.nio.ByteBuffer;
 import java.time.Duration;
 import java.time.Instant;
+import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.LinkedHashMap;
-import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 import java.util.function.Supplier;
+import pathlane.config.ServerLimits;
 import pathlane.config.Settings;
 import pathlane.core.CallController;
 import pathlane.core.ConnectionEnd;
@@ -21,11 +22,13 @@
 import pathlane.decision.Gateway.Ending;
 import pathlane.link.Connection;
 import pathlane.link.Dialer;
+import pathlane.link.FrameDeadline;
 import pathlane.link.Protocol;
 
 /**
- * The way to one session server: one connection that many calls share, dialled when the server is first
- * listed and again when it is needed.
+ * The way to one session server: a few connections that all calls share, the first dialled when the server is first
+ * listed, the others when those that are up are busy. One that breaks, is spoilt or says nothing more costs only the
+ * set-ups that are out on it.
  */
 public final class ServerLink implements ServerPort {
 
@@ -34,44 +37,50 @@
     private static final int IDLE_PERCENT = 90;
     private static final Duration REDIAL_FIRST = Duration.ofMillis(100);
     private static final Duration REDIAL_MOST = Duration.ofSeconds(1);
-    /** A server tells its free lines each second; after so long without a word its connection may be dead. */
-    private static final Duration MOST_SILENCE = Duration.ofSeconds(4);
     /** Dials in vain after which a silent server's calls count as cut: they can't be released any more. */
     private static final int VAIN_DIALS = 2;
 
     private final ServerLine server;
     private final String name;
     private final Settings settings;
+    private final ServerLimits limits;
     private final Supplier<CallController> controller;
     private final Dialer dialer;
     private final Scheduler scheduler;
-    /** Set-ups and releases that wait for the connection. */
+    /** Set-ups and releases that wait for a connection. */
     private final Map<String, byte[]> waitingSetUps = new LinkedHashMap<>();
     private final Map<String, byte[]> waitingReleases = new LinkedHashMap<>();
-    /** Set-ups written and not yet at an end. */
-    private final Set<String> out = new LinkedHashSet<>();
+    /** Connections that are dialled or up. */
+    private final List<Session> sessions = new ArrayList<>();
+    /** Where each set-up is out: written, and not yet at an end. */
+    private final Map<String, Session> out = new HashMap<>();
     private final Duration idleAfter;
     private Duration redial = REDIAL_FIRST;
-    private Session session;
+    private Scheduler.Timer redialTimer;
+    /** No further connection beside those that are up is dialled before this. */
+    private Instant noMoreBefore = Instant.MIN;
+    /** When the latest of the set-ups that the server has answered was sent. */
+    private Instant answeredUpTo = Instant.MIN;
     private boolean closed;
     /** Dials in vain since the server was last heard. */
     private int vainDials;
     /** A server that drains tells no lines and takes no connections any more, and its calls go on all the same. */
     private boolean draining;
-    /** Whether the last connection that was up broke, as it does when a process dies. */
-    private boolean broke;
+    /** Whether the server ended the last connection that was up, as it does when its process stops or dies. */
+    private boolean leftByServer;
 
     /** The controller is asked for late: it makes its ports itself. */
-    public ServerLink(ServerLine server, Settings settings, Supplier<CallController> controller, Dialer dialer,
-                      Scheduler scheduler) {
+    public ServerLink(ServerLine server, Settings settings, ServerLimits limits, Supplier<CallController> controller,
+                      Dialer dialer, Scheduler scheduler) {
         this.server = server;
         this.name = serverName(server.id());
         this.idleAfter = settings.idleClose().multipliedBy(IDLE_PERCENT).dividedBy(100);
         this.settings = settings;
+        this.limits = limits;
         this.controller = controller;
         this.dialer = dialer;
         this.scheduler = scheduler;
-        dial();
+        dialOne();
     }
 
     /** How ids of session servers stand in text. */
@@ -79,15 +88,28 @@
         return String.format("s-%08x", id);
     }
 
+    /** Dials where nothing is up or dialled; a connection that is being closed is neither. */
     private void dial() {
-        if (session == null && !closed) {
-            session = new Session();
-            dialer.dial(server.address(), settings.dialTimeout(), session);
+        if (!closed && sessions.stream().allMatch(session -> session.ending)) {
+            dialOne();
         }
     }
 
-    private boolean up() {
-        return session != null && session.connection != null;
+    private void dialOne() {
+        Session session = new Session();
+        sessions.add(session);
+        dialer.dial(server.address(), settings.dialTimeout(), session);
+    }
+
+    /** The connection for what comes next: the one with the fewest set-ups out, or null while none is up. */
+    private Session best() {
+        Session best = null;
+        for (Session one : sessions) {
+            if (one.isUp() && (best == null || one.sent.size() < best.sent.size())) {
+                best = one;
+            }
+        }
+        return best;
     }
 
     @Override
@@ -98,28 +120,44 @@
                 .with(Message.PATIENCE, Long.toString(Math.max(1, patience.toMillis())))
                 .with(Message.NUMBER, setUp.number())
                 .with(Message.DESCRIPTION, setUp.description()).bytes();
-        if (up()) {
-            out.add(setUp.id());
-            session.write(bytes);
-        } else {
+        Session best = best();
+        if (best == null) {
             waitingSetUps.put(setUp.id(), bytes);
             dial();
+            return;
+        }
+        if (!best.sent.isEmpty() && sessions.size() < limits.connections()
+                && !scheduler.now().isBefore(noMoreBefore)) {
+            noMoreBefore = scheduler.now().plus(REDIAL_FIRST);
+            dialOne();   // all that are up are busy: the next set-up finds one more
         }
+        best.setUp(setUp.id(), bytes);
     }
 
     @Override
     public void giveUp(String call) {
-        if (waitingSetUps.remove(call) == null && out.remove(call) && up()) {
-            session.write(new Message(Message.RELEASE, call).withCause(Cause.OVER).bytes());
+        if (waitingSetUps.remove(call) != null) {
+            return;
+        }
+        Session session = out.remove(call);
+        if (session != null) {
+            Instant sentAt = session.sent.remove(call);
+            if (session.isUp()) {
+                session.write(new Message(Message.RELEASE, call).withCause(Cause.OVER).bytes());
+            }
+            if (session.isUp() && session.isOvertaken(sentAt)) {
+                session.end(ConnectionEnd.OVERTAKEN);
+            }
         }
     }
 
     @Override
     public void release(String call, Ending how, byte[] content) {
         byte[] bytes = new Message(Message.RELEASE, call).withCause(Cause.ofRelease(how)).bytes();
-        if (up()) {
-            session.write(bytes);
-        } else {
+        Session best = best();
+        if (best != null) {
+            best.write(bytes);
+        } else if (!closed) {
             waitingReleases.put(call, bytes);
             dial();
         }
@@ -143,60 +181,75 @@
     public void close() {
         closed = true;
         waitingReleases.clear();
-        if (up()) {
-            session.connection.close(ConnectionEnd.DELISTED);
+        if (redialTimer != null) {
+            redialTimer.cancel();
         }
-        endAll(ConnectionEnd.DELISTED);
-    }
-
-    private void endAll(ConnectionEnd end) {
+        List<Session> ended = List.copyOf(sessions);
+        sessions.clear();
         endWaiting();
-        List<String> broken = List.copyOf(out);
-        out.clear();
-        broken.forEach(call -> controller.get().released(server.id(), call, end.outcome(),
-                Duration.ZERO));
+        ended.forEach(session -> {
+            session.stop();
+            if (session.connection != null) {
+                session.connection.close(ConnectionEnd.DELISTED);
+            }
+            session.endSent(ConnectionEnd.DELISTED);
+        });
     }
 
     /** One connection to the server. */
     private final class Session implements Protocol {
 
         private final FrameAssembler assembler = Message.assembler();
+        private final FrameDeadline unfinished = new FrameDeadline(scheduler, limits.unfinished(),
+                () -> end(ConnectionEnd.UNFINISHED));
+        /** Set-ups that are out on this connection, in the order in which they were sent, and when. */
+        private final Map<String, Instant> sent = new LinkedHashMap<>();
         private Connection connection;
+        private Scheduler.Timer idle;
+        private Scheduler.Timer silence;
         private Instant used;
+        /** When the last whole message came. */
         private Instant heard;
         private boolean tellsLines;
+        private boolean ending;
+
+        boolean isUp() {
+            return connection != null && !ending;
+        }
 
         @Override
         public void opened(Connection up) {
+            connection = up;
             if (closed) {
                 up.close(ConnectionEnd.DELISTED);
                 return;
             }
-            connection = up;
             redial = REDIAL_FIRST;
             used = scheduler.now();
             heard = used;
             vainDials = 0;
-            scheduler.after(idleAfter, this::closeIfIdle);
-            scheduler.after(MOST_SILENCE, this::closeIfSilent);
+            idle = scheduler.after(idleAfter, this::closeIfIdle);
+            silence = scheduler.after(limits.silence(), this::closeIfSilent);
             LOG.log(Level.INFO, "server {0} at {1} is up", name, up.remote());
             waitingReleases.values().forEach(up::write);
             waitingReleases.clear();
-            out.addAll(waitingSetUps.keySet());
-            waitingSetUps.values().forEach(up::write);
+            waitingSetUps.forEach(this::setUp);
             waitingSetUps.clear();
         }
 
+        void setUp(String call, byte[] bytes) {
+            sent.put(call, scheduler.now());
+            out.put(call, this);
+            write(bytes);
+        }
+
         /** Guards against set-ups that cross the other side's close of a connection that idled too long. */
         private void closeIfIdle() {
-            if (session != this) {
-                return;
-            }
             Duration left = Duration.between(scheduler.now(), used.plus(idleAfter));
-            if (left.compareTo(Duration.ZERO) > 0 || !out.isEmpty()) {
-                scheduler.after(left.compareTo(REDIAL_MOST) > 0 ? left : REDIAL_MOST, this::closeIfIdle);
+            if (left.compareTo(Duration.ZERO) > 0 || !sent.isEmpty() || draining) {
+                idle = scheduler.after(left.compareTo(REDIAL_MOST) > 0 ? left : REDIAL_MOST, this::closeIfIdle);
             } else {
-                connection.close(ConnectionEnd.IDLE);
+                end(ConnectionEnd.IDLE);
             }
         }
 
@@ -205,19 +258,29 @@
          * sign, and its connection stays open. A new connection shows whether it is there.
          */
         private void closeIfSilent() {
-            if (session != this) {
-                return;
-            }
-            Duration left = Duration.between(scheduler.now(), heard.plus(MOST_SILENCE));
+            Duration left = Duration.between(scheduler.now(), heard.plus(limits.silence()));
             if (left.compareTo(Duration.ZERO) > 0) {
-                scheduler.after(left, this::closeIfSilent);
+                silence = scheduler.after(left, this::closeIfSilent);
             } else if (tellsLines && !draining) {
-                connection.close(ConnectionEnd.SILENT);
+                end(ConnectionEnd.SILENT);
             } else {
-                scheduler.after(MOST_SILENCE, this::closeIfSilent);
+                silence = scheduler.after(limits.silence(), this::closeIfSilent);
             }
         }
 
+        /**
+         * Guards against a connection on which nothing comes any more though the server works: it takes set-ups in
+         * turn, so one that it answered on another connection, sent well after this one, was overtaken by it.
+         */
+        boolean isOvertaken(Instant sentAt) {
+            return !heard.isAfter(sentAt) && !answeredUpTo.isBefore(sentAt.plus(limits.overtaken()));
+        }
+
+        private void end(ConnectionEnd why) {
+            ending = true;
+            connection.close(why);
+        }
+
         void write(byte[] bytes) {
             used = scheduler.now();
             connection.write(bytes);
@@ -226,28 +289,28 @@
         @Override
         public void received(ByteBuffer bytes) {
             used = scheduler.now();
-            heard = used;
             try {
-                assembler.feed(bytes, frame -> message(Message.read(frame)));
+                unfinished.fed(assembler.feed(bytes, frame -> message(Message.read(frame))), assembler.begun());
             } catch (BadInput e) {
                 LOG.log(Level.WARNING, "server {0} closed for bad input: {1}", name, e.getMessage());
                 bytes.position(bytes.limit());
-                connection.close(ConnectionEnd.BAD_INPUT);
+                end(ConnectionEnd.BAD_INPUT);
             }
         }
 
         private void message(Message message) {
             String call = message.id();
+            heard = scheduler.now();
             switch (message.type) {
                 case Message.ANSWER -> {
-                    out.remove(call);
+                    atEnd(call);
                     byte[] description = message.value(Message.DESCRIPTION);
                     controller.get().answered(server.id(), call, description == null ? new byte[0] : description);
                 }
                 case Message.RELEASE -> {
                     // Read before the set-up is struck out: bad input must still end it with the connection.
                     Ending how = Cause.ending(message.cause(), message.text(Message.NOTE));
-                    out.remove(call);
+                    atEnd(call);
                     controller.get().released(server.id(), call, how, Duration.ZERO);
                 }
                 case Message.PROGRESS, Message.RELEASE_HEARD, Message.TEST_RESULT -> { }
@@ -256,6 +319,21 @@
             }
         }
 
+        /** A set-up of this connection has come to its end, and shows what the server has got to. */
+        private void atEnd(String call) {
+            Instant sentAt = sent.remove(call);
+            if (sentAt == null) {
+                return;
+            }
+            out.remove(call);
+            answeredUpTo = sentAt.isAfter(answeredUpTo) ? sentAt : answeredUpTo;
+            for (Session other : List.copyOf(sessions)) {
+                if (other.isUp() && !other.sent.isEmpty() && other.isOvertaken(other.sent.values().iterator().next())) {
+                    other.end(ConnectionEnd.OVERTAKEN);
+                }
+            }
+        }
+
         /** A state such as {@code free:12;size:299}: the server's free lines and all its lines. */
         private void groupState(Message message) {
             tellsLines = true;
@@ -275,25 +353,55 @@
             controller.get().linesTold(server.id(), free, size);
         }
 
+        void stop() {
+            unfinished.stop();
+            if (idle != null) {
+                idle.cancel();
+                silence.cancel();
+            }
+        }
+
+        /** What was out here has come to its end with the connection. */
+        private void endSent(ConnectionEnd end) {
+            List<String> broken = List.copyOf(sent.keySet());
+            sent.clear();
+            broken.forEach(out::remove);
+            broken.forEach(call -> controller.get().released(server.id(), call, end.outcome(), Duration.ZERO));
+        }
+
         @Override
         public void closed(ConnectionEnd end) {
-            session = session == this ? null : session;
+            sessions.remove(this);
+            stop();
             if (closed) {
                 return;
             }
             LOG.log(Level.INFO, "server {0} is down: {1}", name, end);
-            endAll(end);
-            broke = connection != null ? end == ConnectionEnd.RESET : broke;
-            vainDials += end == ConnectionEnd.DIAL_TIMED_OUT ? 1 : 0;
-            if (end.provesProcessGone() && (!draining || broke) || vainDials >= VAIN_DIALS) {
-                // Guards against calls that stood at a process that died: nobody is left to release them.
-                controller.get().serverDied(server.id());
+            if (connection == null) {
+                noMoreBefore = scheduler.now().plus(REDIAL_MOST);
+            } else {
+                leftByServer = end == ConnectionEnd.RESET || end == ConnectionEnd.CLOSED_BY_PEER;
             }
-            if (controller.get().standsAt(server.id()) || !waitingReleases.isEmpty()) {
-                // What concerns standing calls may come on the next connection.
-                scheduler.after(redial, ServerLink.this::dial);
-                redial = redial.multipliedBy(2).compareTo(REDIAL_MOST) < 0 ? redial.multipliedBy(2) : REDIAL_MOST;
+            endSent(end);
+            if (sessions.isEmpty()) {
+                allEnded(end);
             }
         }
     }
+
+    /** Nothing is up or dialled any more. */
+    private void allEnded(ConnectionEnd end) {
+        endWaiting();
+        vainDials += end == ConnectionEnd.DIAL_TIMED_OUT ? 1 : 0;
+        if (end.provesProcessGone() && (!draining || leftByServer) || vainDials >= VAIN_DIALS) {
+            // Guards against calls that stood at a process that stopped or died: nobody is left to release them, and
+            // the list may tell so too late.
+            controller.get().serverDied(server.id());
+        }
+        if (!closed && (controller.get().standsAt(server.id()) || !waitingReleases.isEmpty())) {
+            // What concerns standing calls may come on the next connection.
+            redialTimer = scheduler.after(redial, this::dial);
+            redial = redial.multipliedBy(2).compareTo(REDIAL_MOST) < 0 ? redial.multipliedBy(2) : REDIAL_MOST;
+        }
+    }
 }
--- a/src/test/java/pathlane/exchange/Stage.java
+++ b/src/test/java/pathlane/exchange/Stage.java
@@ -32,7 +32,8 @@
 
 /**
  * Plays one exchange file against a front, in virtual time and without a socket. Lines:
- * {@code open NAME} a caller's connection; {@code accept|refuse|silent PORT} what becomes of a dial;
+ * {@code open NAME} a caller's connection; {@code accept|refuse|silent PORT} what becomes of a dial, whose connection is
+ * then named by the port, or by {@code accept PORT NAME};
  * {@code NAME > bytes} the other side writes; {@code NAME < bytes} the program has written just that next;
  * {@code NAME ends END} the other side ends it; {@code NAME closed END} the program has closed it;
  * {@code NAME answers watchdogs} as a Diameter peer that is well; {@code no dial PORT}; {@code wait MS};
@@ -160,7 +161,7 @@
             Protocol dialled = dials.getOrDefault(Integer.parseInt(words[1]), new ArrayDeque<>()).poll();
             assertTrue(dialled != null, () -> "no dial at " + at);
             if (words[0].equals("accept")) {
-                connect(words[1], dialled);
+                connect(words[words.length - 1], dialled);
             } else {
                 dialled.closed(words[0].equals("refuse") ? ConnectionEnd.REFUSED : ConnectionEnd.DIAL_TIMED_OUT);
             }
