--- a/src/main/java/pathlane/core/CallController.java
+++ b/src/main/java/pathlane/core/CallController.java
@@ -15,6 +15,7 @@
 import java.util.TreeMap;
 import java.util.function.Consumer;
 import java.util.function.Function;
+import java.util.function.Predicate;
 import pathlane.config.Millis;
 import pathlane.config.Settings;
 import pathlane.core.Counters.Name;
@@ -39,7 +40,8 @@
     /** What is over is remembered for so long: what a server or caller still says of it concerns nobody. */
     private static final Duration OVER_MEMORY = Duration.ofSeconds(60);
 
-    private static final int MOST_UNRELAYED = 10_000;
+    /** The most that is remembered of calls that are over, and of releases that found no caller. */
+    private static final int MOST_REMEMBERED = 10_000;
 
     private final Settings settings;
     private final Scheduler scheduler;
@@ -64,7 +66,7 @@
     }
 
     /** A release that found no connection to its caller. */
-    private record Unrelayed(CallerPort own, Ending how) { }
+    private record Unrelayed(CallerPort own, Ending how, Instant at) { }
 
     private static final class Server {
         final ServerPort port;
@@ -368,8 +370,11 @@
         }
         if (way != null) {
             way.release(id, how);
-        } else if (unrelayed.size() < MOST_UNRELAYED) {
-            unrelayed.put(id, new Unrelayed(own, how));
+        } else {
+            Instant now = scheduler.now();
+            unrelayed.put(id, new Unrelayed(own, how, now));
+            forget(unrelayed.values().iterator(), waiting -> waiting.at().plus(OVER_MEMORY).isBefore(now),
+                    unrelayed.size());
         }
     }
 
@@ -430,6 +435,7 @@
         consequences.add(() -> {
             server.port.close();
             cutAll(server);
+            servers.remove(line.id(), server);   // servers come under new ids: those that have gone are not kept
         });
     }
 
@@ -492,11 +498,20 @@
         held.open -= call.standing ? 0 : 1;
         held.standing -= call.standing ? 1 : 0;
         Instant now = scheduler.now();
-        for (Iterator<Instant> old = over.values().iterator();
-                old.hasNext() && old.next().plus(OVER_MEMORY).isBefore(now); ) {
-            old.remove();
-        }
         over.put(call.asked.id(), now);
+        forget(over.values().iterator(), at -> at.plus(OVER_MEMORY).isBefore(now), over.size());
+    }
+
+    /** Guards memory against days of any length and callers of any number: the oldest go first. */
+    private static <T> void forget(Iterator<T> oldestFirst, Predicate<T> stale, int size) {
+        for (int left = size; left > 0 && (stale.test(oldestFirst.next()) || left > MOST_REMEMBERED); left--) {
+            oldestFirst.remove();
+        }
+    }
+
+    /** How much is kept, of whatever kind: it must not grow with the length of the day. */
+    public int kept() {
+        return calls.size() + servers.size() + over.size() + callers.size() + unrelayed.size();
     }
 
     /** Carries out what the module asks for. */
--- a/src/main/java/pathlane/decision/Logic.java
+++ b/src/main/java/pathlane/decision/Logic.java
@@ -139,14 +139,13 @@
             servers.values().forEach(server -> server.mode = Mode.GONE);
         }
         for (Listed line : lines) {
-            Server server = servers.get(line.server());
-            boolean fresh = server == null;
-            if (fresh) {
-                server = new Server(line.server());
-                servers.put(line.server(), server);
-            }
-            server.listed(now, line, fresh && listSeen);
+            boolean fresh = !servers.containsKey(line.server());
+            servers.computeIfAbsent(line.server(), Server::new).listed(now, line, fresh && listSeen);
         }
+        // Guards long days: servers come under new ids, and each event looks at all that are kept.
+        servers.values().forEach(server -> server.goneAt = server.mode == Mode.GONE ? Math.min(server.goneAt, now)
+                : Double.POSITIVE_INFINITY);
+        servers.values().removeIf(server -> now - server.goneAt > settings.rules().coldMs());
         listSeen = true;
         askAt = Double.NaN;
         settle(now);
@@ -630,6 +629,7 @@
         int pool;
         double size = 1;
         Mode mode = Mode.RUNNING;
+        double goneAt = Double.POSITIVE_INFINITY;
         double startedMs;
         double coldSince = Double.NaN;
         final Map<String, Setup> unanswered = new LinkedHashMap<>();
--- a/src/main/java/pathlane/diameter/ServerPeer.java
+++ b/src/main/java/pathlane/diameter/ServerPeer.java
@@ -117,7 +117,9 @@
     public boolean pass(String call, byte[] content) {
         boolean open = session != null && session.isOpen();
         if (open) {
-            passed.put(sendOn(DiameterMessage.read(ByteBuffer.wrap(content))), call);
+            int id = sendOn(DiameterMessage.read(ByteBuffer.wrap(content)));
+            passed.put(id, call);
+            scheduler.after(LATE_MOST, () -> passed.remove(id, call));   // guards against updates never answered
         }
         return open;
     }
--- a/src/main/java/pathlane/platform/BusFeed.java
+++ b/src/main/java/pathlane/platform/BusFeed.java
@@ -5,6 +5,7 @@
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
 import java.time.Duration;
+import java.util.List;
 import java.util.function.Consumer;
 import pathlane.core.ConnectionEnd;
 import pathlane.core.Scheduler;
@@ -21,7 +22,8 @@
     private static final Logger LOG = System.getLogger("bus");
     private static final int LENGTH_BYTES = 4;
     private static final int HEAD = 9;
-    private static final int LONGEST = 16 * 1024 * 1024;
+    /** Some 9,000 servers in one event; a longer one is no event, and is refused before it is gathered. */
+    private static final int LONGEST = 256 * 1024;
     private static final int NOTHING_NEW = 0;
     private static final int WHOLE = 1;
     private static final int CHANGES = 2;
@@ -36,6 +38,8 @@
     private InetSocketAddress bus;
     private long last;
     private boolean wasUp;
+    /** The number of the last event that could not be read; it has been asked for once more. */
+    private long unreadable = -1;
     /** The one connection that is followed or dialled; whatever another one still does concerns nobody. */
     private Session session;
 
@@ -92,10 +96,11 @@
 
         @Override
         public void received(ByteBuffer bytes) {
-            silence.cancel();
-            await();
             try {
-                assembler.feed(bytes, this::frame);
+                if (assembler.feed(bytes, this::frame) > 0) {
+                    silence.cancel();   // a whole event came: half of one that then stops is silence too
+                    await();
+                }
             } catch (BadInput e) {
                 LOG.log(Level.WARNING, "event bus closed for bad input: {0}", e.getMessage());
                 bytes.position(bytes.limit());
@@ -119,13 +124,31 @@
                 // Guards against a list with a hole in it: the missing events are asked for again.
                 throw new BadInput("event " + number + " after " + last);
             }
+            ServerList list = read(number, kind, frame);
             last = number;
-            ServerList list = ServerList.read(kind == WHOLE, frame);
             list.lines().forEach(line -> LOG.log(Level.INFO, "event {0}: server {1} at {2} is {3}",
                     Long.toString(number), ServerLink.serverName(line.id()), line.address(), line.mode()));
             events.accept(list);
         }
 
+        /**
+         * Reads an event. Guards against one that came spoilt, which is asked for again, and against one that can't
+         * be read however often it comes, which must not keep all later ones out: it is passed over.
+         */
+        private ServerList read(long number, int kind, ByteBuffer frame) {
+            try {
+                return ServerList.read(kind == WHOLE, frame);
+            } catch (BadInput e) {
+                if (number != unreadable) {
+                    unreadable = number;
+                    throw e;
+                }
+                LOG.log(Level.WARNING, "event {0} can''t be read, again, and is passed over: {1}",
+                        Long.toString(number), e.getMessage());
+                return new ServerList(false, List.of());
+            }
+        }
+
         @Override
         public void closed(ConnectionEnd end) {
             if (silence != null) {
--- a/src/main/java/pathlane/platform/ServerLink.java
+++ b/src/main/java/pathlane/platform/ServerLink.java
@@ -157,7 +157,7 @@
         Session best = best();
         if (best != null) {
             best.write(bytes);
-        } else if (!closed) {
+        } else if (!closed && waitingReleases.size() < limits.waitingReleases()) {
             waitingReleases.put(call, bytes);
             dial();
         }
--- a/src/test/java/pathlane/decision/TroubleTest.java
+++ b/src/test/java/pathlane/decision/TroubleTest.java
@@ -43,6 +43,17 @@
         assertEquals("b", bench.last().call());
     }
 
+    /** Before, every server that was ever listed was kept, and looked at on every event. */
+    @Test
+    void serversLongGoneAreForgotten() {
+        for (int id = 1; id <= 200; id++) {
+            bench.change(Bench.running(id + 1), new Gateway.Listed(id, id, Gateway.Mode.GONE, 0, 1));
+            bench.until(id * 1000);
+        }
+        assertTrue(bench.logic.servers.size() <= 13, "one a second, remembered for the 10 s of a cold start");
+        assertTrue(bench.logic.servers.containsKey(201L));
+    }
+
     @Test
     void leaversAreCalledOffAndNotCounted() {
         bench.list(Bench.running(1));
--- a/src/test/java/pathlane/exchange/Stage.java
+++ b/src/test/java/pathlane/exchange/Stage.java
@@ -20,6 +20,7 @@
 import java.util.function.Supplier;
 import pathlane.config.DiameterConfig;
 import pathlane.config.NodeConfig;
+import pathlane.core.CallController;
 import pathlane.core.ConnectionEnd;
 import pathlane.core.Scheduler;
 import pathlane.diameter.DiameterFront;
@@ -95,6 +96,7 @@
     private final Supplier<Protocol> callers;
     private final Admission admission;
     private final Consumer<String> busMoves;
+    private final CallController controller;
     private Instant now = Instant.parse("2026-01-01T00:00:00Z");
     private long order;
     private Duration lag = Duration.ZERO;
@@ -106,6 +108,7 @@
             DiameterFront front = new DiameterFront(parsed, 7, this, this,
                     new SplittableRandom(7));
             callers = front::accept;
+            controller = front.controller();
             admission = new Admission(parsed.callers().connections());
             busMoves = port -> fail("there is no bus");
             if (parsed.graphite() != null) {
@@ -115,6 +118,7 @@
             NodeConfig parsed = NodeConfig.parse(config);
             PlatformFront front = new PlatformFront(parsed, this, this, () -> true);
             callers = front::accept;
+            controller = front.controller();
             admission = new Admission(parsed.callers().connections());
             busMoves = port -> front.reload(NodeConfig.parse(config.replaceAll("(\"bus\": \".*?:)\\d+", "$1" + port)));
         }
@@ -134,6 +138,11 @@
         nothingUnnamed();
     }
 
+    /** What the core keeps, connections that callers hold, and timers that are set. */
+    int kept() {
+        return controller.kept() + admission.size() + timers.size();
+    }
+
     private void step(String[] words) {
         if (words[0].equals("wait")) {
             nothingUnnamed();
