Callers' messages have a rate and what they leave unread a bound; their reads take turns

Seen by reading, for clients that send at full speed: one connection was read up to 16 times 16 KiB before another had its turn, each message in it answered (a test costs 14 bytes to send), and up to 1 MiB could wait unread for each of hundreds of connections in a heap of 64 MB. Every fault of a Diameter client was a log line.

A usual caller of 190 calls a second brings 600 messages a second at most.

FloodTest fails on both fronts without the change. What is left unread and the turns of reads are not tested: they need a socket.

--- a/src/main/java/pathlane/Node.java
+++ b/src/main/java/pathlane/Node.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutionException;
 import java.util.function.Supplier;
+import pathlane.config.CallerLimits;
 import pathlane.config.DiameterConfig;
 import pathlane.config.NodeConfig;
 import pathlane.core.CallController;
@@ -32,7 +33,7 @@
 
     /** A front: who decides its calls, what meets its callers, and how it parts from its peers at the end, and what it
      * does when its configuration is to be read again. */
-    private record Front(CallController controller, Supplier<Protocol> callers, int mostConnections, Runnable part,
+    private record Front(CallController controller, Supplier<Protocol> callers, CallerLimits limits, Runnable part,
                          Runnable reload) { }
 
     private final EventLoop loop = new EventLoop();
@@ -47,7 +48,7 @@
         Node node = new Node();
         node.serve(config.name(), config.listen(), () -> {
             PlatformFront platform = new PlatformFront(config, node.network, node.loop, () -> !node.ending);
-            return new Front(platform.controller(), platform::accept, config.callers().connections(), () -> { },
+            return new Front(platform.controller(), platform::accept, config.callers(), () -> { },
                     () -> platform.reload(NodeConfig.read(file)));
         });
     }
@@ -63,7 +64,7 @@
                 new GraphiteReporter(config.graphite(), diameter.controller().counters(), node.network, node.loop)
                         .start();
             }
-            return new Front(diameter.controller(), diameter::accept, config.callers().connections(),
+            return new Front(diameter.controller(), diameter::accept, config.callers(),
                     diameter::disconnect, () -> {
                 throw new IllegalArgumentException("the Diameter front reads its file at its start alone");
             });
@@ -84,7 +85,7 @@
         });
         InetSocketAddress bound;
         try {
-            bound = network.listen(listen, built.get().callers(), front.mostConnections());
+            bound = network.listen(listen, built.get().callers(), front.limits());
         } catch (ExecutionException e) {
             loop.close();
             throw new IllegalArgumentException(e.getCause().getMessage(), e);
--- a/src/main/java/pathlane/config/CallerLimits.java
+++ b/src/main/java/pathlane/config/CallerLimits.java
@@ -10,12 +10,16 @@
  * @param unfinished how long a message may take from its first byte to its last
  * @param unused how long a connection may stay silent on which no call ever stood, with no set-up open
  * @param idle how long one may stay silent on which calls stood, with none open or standing
+ * @param messages messages that one connection may bring at once; more close it
+ * @param messageEvery one more of these is allowed each time so long has passed
+ * @param unwritten bytes that may wait for one connection's other side to read; more close it
  * @param faults set-ups that can't be used, on one connection; the next one closes it
  * @param unknownReleases releases of unknown calls that one connection may bring at once
  * @param unknownReleaseEvery one more of these is allowed each time so long has passed
  */
-public record CallerLimits(int connections, Duration unfinished, Duration unused, Duration idle, int faults,
-                           int unknownReleases, Duration unknownReleaseEvery) {
+public record CallerLimits(int connections, Duration unfinished, Duration unused, Duration idle, int messages,
+                           Duration messageEvery, int unwritten, int faults, int unknownReleases,
+                           Duration unknownReleaseEvery) {
 
     /** Where a configuration does not say how many descriptors the program may hold. */
     static final int USUAL_DESCRIPTORS = 1024;
@@ -30,6 +34,6 @@
             throw new IllegalArgumentException("limits.sockets is too small: " + descriptors);
         }
         return new CallerLimits(Math.max(descriptors - RESERVED, descriptors / LEAST_PART), Duration.ofMillis(1500),
-                Duration.ofSeconds(2), Duration.ofSeconds(6), 8, 100, Duration.ofMillis(20));
+                Duration.ofSeconds(2), Duration.ofSeconds(6), 1000, Duration.ofMillis(1), 128 * 1024, 8, 100, Duration.ofMillis(20));
     }
 }
--- a/src/main/java/pathlane/diameter/DiameterFront.java
+++ b/src/main/java/pathlane/diameter/DiameterFront.java
@@ -12,6 +12,7 @@
 import pathlane.core.ServerLine;
 import pathlane.decision.Gateway.Mode;
 import pathlane.link.Dialer;
+import pathlane.link.LimitedLog;
 import pathlane.link.Protocol;
 
 /** The Diameter front of a call controller: its clients, its server peers, and the list that these make up. */
@@ -30,10 +31,11 @@
         this.config = config;
         this.scheduler = scheduler;
         this.random = random;
-        this.local = new LocalNode(config.host(), config.realm(), config.listen().getAddress().getAddress());
+        this.local = new LocalNode(config.host(), config.realm(), config.listen().getAddress().getAddress(),
+                config.callers(), new LimitedLog("diameter", scheduler));
         this.controller = new CallController(config.settings(), seed, scheduler, line -> {
             DiameterConfig.Peer peer = config.peer(line.id());
-            ServerPeer port = new ServerPeer(peer, local, config, this::controller, dialer, scheduler,
+            ServerPeer port = new ServerPeer(peer, local, config.watchdog(), this::controller, dialer, scheduler,
                     random, available -> list(peer, available));
             servers.put(line.id(), port);
             return port;
@@ -49,7 +51,7 @@
     public Protocol accept() {
         ClientPeer client = new ClientPeer(controller, config, local, scheduler, random, clients::remove);
         clients.add(client);
-        return new PeerSession(false, local, config.callers(), scheduler, random, client);
+        return new PeerSession(false, local, scheduler, random, client);
     }
 
     /** Parts from all peers in order. */
--- a/src/main/java/pathlane/diameter/LocalNode.java
+++ b/src/main/java/pathlane/diameter/LocalNode.java
@@ -1,9 +1,15 @@
 package pathlane.diameter;
 
 import java.util.List;
+import pathlane.config.CallerLimits;
+import pathlane.link.LimitedLog;
 
-/** Who this node is to its peers. */
-record LocalNode(String host, String realm, byte[] address) {
+/**
+ * Who this node is to its peers, and what it allows them.
+ *
+ * @param log for what peers can bring about at will
+ */
+record LocalNode(String host, String realm, byte[] address, CallerLimits limits, LimitedLog log) {
 
     private static final String PRODUCT = "pathlane";
 
--- a/src/main/java/pathlane/diameter/PeerSession.java
+++ b/src/main/java/pathlane/diameter/PeerSession.java
@@ -14,6 +14,7 @@
 import pathlane.link.Connection;
 import pathlane.link.FrameDeadline;
 import pathlane.link.Protocol;
+import pathlane.link.RateLimit;
 
 /**
  * One connection with a peer: capabilities exchange, the base protocol's own requests, and the ids that pair
@@ -44,6 +45,7 @@
 
     private static final Logger LOG = System.getLogger("diameter");
     private static final Duration EXCHANGE_TIMEOUT = Duration.ofSeconds(5);
+    private static final String UNKNOWN = "?";
     private static final int REBOOTING = 0;
     private static final int END_TO_END_RANDOM_BITS = 20;
     /** Requests of the base protocol, and answers of ours, belong to application nought. */
@@ -55,28 +57,28 @@
     private final RandomGenerator random;
     private final Handler handler;
     private final DiameterFrames frames = new DiameterFrames();
-    private final CallerLimits limits;
     private final FrameDeadline unfinished;
+    private final RateLimit messages;
     private Connection connection;
     private State state = State.CONNECTING;
     private Scheduler.Timer exchange;
     private final Instant createdAt;
     private int nextHopByHop;
-    private String peer = "?";
+    private String peer = UNKNOWN;
     private String realm = "";
 
     /** {@code dialled} where this node opened the connection and so asks first. */
-    PeerSession(boolean dialled, LocalNode local, CallerLimits limits, Scheduler scheduler, RandomGenerator random,
-                Handler handler) {
+    PeerSession(boolean dialled, LocalNode local, Scheduler scheduler, RandomGenerator random, Handler handler) {
         this.dialled = dialled;
         this.local = local;
         this.scheduler = scheduler;
         this.random = random;
         this.handler = handler;
         this.nextHopByHop = random.nextInt();
-        this.limits = limits;
+        CallerLimits limits = local.limits();
         this.unfinished = new FrameDeadline(scheduler, limits.unfinished(),
                 () -> connection.close(ConnectionEnd.UNFINISHED));
+        this.messages = new RateLimit(limits.messages(), limits.messageEvery(), scheduler);
         this.createdAt = scheduler.now();
     }
 
@@ -99,7 +101,7 @@
         // Guards the descriptors against clients that connect and say nothing.
         exchange = dialled
                 ? scheduler.after(EXCHANGE_TIMEOUT, () -> connection.close(ConnectionEnd.DIAL_TIMED_OUT))
-                : scheduler.after(limits.unused(), () -> connection.close(ConnectionEnd.IDLE));
+                : scheduler.after(local.limits().unused(), () -> connection.close(ConnectionEnd.IDLE));
         if (dialled) {
             send(base(DiameterMessage.CAPABILITIES_EXCHANGE, local.introduction()));
         }
@@ -117,7 +119,7 @@
             unfinished.fed(frames.feed(bytes, this::frame), frames.begun());
         } catch (Fault e) {
             // The stream can't be followed any further; a message that is whole is answered in frame().
-            LOG.log(Level.WARNING, "peer {0} closed for bad input: {1}", peer, e.getMessage());
+            local.log().warn("peer {0} closed for bad input: {1}", peer, e.getMessage());
             bytes.position(bytes.limit());
             connection.close(ConnectionEnd.BAD_INPUT);
         }
@@ -127,6 +129,10 @@
         if (state == State.CLOSED) {
             return;
         }
+        if (!dialled && !messages.take()) {
+            // Guards the usual clients' time; a peer that this node dials sends what it is asked for.
+            throw new Fault(ResultCode.TOO_BUSY, null, "too many messages");
+        }
         DiameterMessage head = DiameterMessage.readHead(frame.duplicate());
         DiameterMessage message = head;
         try {
@@ -137,7 +143,7 @@
                 answer(message);
             }
         } catch (Fault e) {
-            LOG.log(Level.WARNING, "peer {0}: {1}", peer, e.getMessage());
+            local.log().warn("peer {0}: {1}", peer, e.getMessage());
             if (!head.isRequest()) {
                 return;   // a bad answer is dropped: its request comes to its end by time-out
             }
@@ -152,7 +158,7 @@
     private void request(DiameterMessage request) {
         boolean exchanges = request.command() == DiameterMessage.CAPABILITIES_EXCHANGE;
         if (state == State.EXCHANGING && (dialled || !exchanges)) {
-            LOG.log(Level.WARNING, "peer {0} closed: command {1} before its capabilities", connection.remote(),
+            local.log().warn("peer {0} closed: command {1} before its capabilities", connection.remote(),
                     request.command());
             connection.close(ConnectionEnd.BAD_INPUT);
             return;
@@ -184,7 +190,7 @@
         int result = sharesApplication(request) ? handler.accept(host) : ResultCode.NO_COMMON_APPLICATION;
         send(request.answer(result, local, local.introduction()));
         if (result != ResultCode.SUCCESS) {
-            LOG.log(Level.WARNING, "peer {0} turned away with result {1}", host, Integer.toString(result));
+            local.log().warn("peer {0} turned away with result {1}", host, Integer.toString(result));
             connection.close(ConnectionEnd.BAD_INPUT);
         } else if (state == State.EXCHANGING) {
             open(host);
@@ -218,7 +224,7 @@
                     && handler.accept(host) == ResultCode.SUCCESS) {
                 open(host);
             } else {
-                LOG.log(Level.WARNING, "peer {0} did not agree: result {1}", host, Integer.toString(result));
+                local.log().warn("peer {0} did not agree: result {1}", host, Integer.toString(result));
                 connection.close(ConnectionEnd.BAD_INPUT);
             }
             return;
@@ -283,7 +289,11 @@
         if (exchange != null) {
             exchange.cancel();
         }
-        LOG.log(Level.INFO, "peer {0} is closed: {1}", peer, end);
+        if (peer.equals(UNKNOWN)) {
+            local.log().warn("connection closed before its capabilities: {0}", end);
+        } else {
+            LOG.log(Level.INFO, "peer {0} is closed: {1}", peer, end);
+        }
         handler.closed(this, end);
     }
 }
--- a/src/main/java/pathlane/diameter/ServerPeer.java
+++ b/src/main/java/pathlane/diameter/ServerPeer.java
@@ -14,7 +14,6 @@
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
-import pathlane.config.CallerLimits;
 import pathlane.config.DiameterConfig;
 import pathlane.core.CallController;
 import pathlane.core.ConnectionEnd;
@@ -44,7 +43,6 @@
 
     private final DiameterConfig.Peer config;
     private final LocalNode local;
-    private final CallerLimits limits;
     private final Supplier<CallController> controller;
     private final Dialer dialer;
     private final Scheduler scheduler;
@@ -62,17 +60,16 @@
     private final Map<Integer, String> passed = new HashMap<>();
     private PeerSession session;
 
-    ServerPeer(DiameterConfig.Peer config, LocalNode local, DiameterConfig front, Supplier<CallController> controller,
+    ServerPeer(DiameterConfig.Peer config, LocalNode local, Duration interval, Supplier<CallController> controller,
                Dialer dialer, Scheduler scheduler, RandomGenerator random, Consumer<Boolean> availability) {
         this.config = config;
         this.local = local;
-        this.limits = front.callers();
         this.controller = controller;
         this.dialer = dialer;
         this.scheduler = scheduler;
         this.random = random;
         this.availability = availability;
-        this.watchdog = new Watchdog(front.watchdog(), scheduler, random, this);
+        this.watchdog = new Watchdog(interval, scheduler, random, this);
         attemptOpen();
         watchdog.start();
     }
@@ -299,7 +296,7 @@
     @Override
     public void attemptOpen() {
         if (session == null) {
-            session = new PeerSession(true, local, limits, scheduler, random, this);
+            session = new PeerSession(true, local, scheduler, random, this);
             dialer.dial(config.address(), DIAL_TIMEOUT, session);
         }
     }
--- a/src/main/java/pathlane/net/Driver.java
+++ b/src/main/java/pathlane/net/Driver.java
@@ -19,19 +19,20 @@
 /** Reads and writes for one connection's state machine; knows no protocol. */
 final class Driver extends ChannelInboundHandlerAdapter implements Connection {
 
-    /** More than this waiting to be written means that the other side has stopped reading. */
-    private static final long MOST_UNWRITTEN = 1 << 20;
 
     /** What was written before a close may take so long to leave; then it is dropped. */
     private static final Duration LAST_WORDS = Duration.ofMillis(500);
 
     private final Protocol protocol;
     private final LimitedLog log;
+    /** More than this waiting to be written means that the other side has stopped reading. */
+    private final long mostUnwritten;
     private Channel channel;
     private ConnectionEnd end;
     private boolean flushDue;
 
-    Driver(Protocol protocol, LimitedLog log) {
+    Driver(Protocol protocol, long mostUnwritten, LimitedLog log) {
+        this.mostUnwritten = mostUnwritten;
         this.protocol = protocol;
         this.log = log;
     }
@@ -87,7 +88,7 @@
             });
         }
         if (channel.unsafe().outboundBuffer() != null
-                && channel.unsafe().outboundBuffer().totalPendingWriteBytes() > MOST_UNWRITTEN) {
+                && channel.unsafe().outboundBuffer().totalPendingWriteBytes() > mostUnwritten) {
             end = ConnectionEnd.OVERFLOW;
             channel.close();
         }
--- a/src/main/java/pathlane/net/Network.java
+++ b/src/main/java/pathlane/net/Network.java
@@ -15,6 +15,7 @@
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.function.Supplier;
+import pathlane.config.CallerLimits;
 import pathlane.core.ConnectionEnd;
 import pathlane.link.Admission;
 import pathlane.link.Dialer;
@@ -28,6 +29,10 @@
     private static final int FIRST_READ = 512;
     private static final int USUAL_READ = 2048;
     private static final int LONGEST_READ = 16 * 1024;
+    /** Reads from one caller before the others have their turn. */
+    private static final int MOST_READS = 2;
+    /** What may wait to be written to a server or a bus. */
+    private static final long MOST_UNWRITTEN = 1 << 20;
     private final EventLoop loop;
     private final LimitedLog limitedLog;
 
@@ -37,24 +42,24 @@
     }
 
     /**
-     * Listens on this address only; each connection gets a state machine of its own, up to so many of them. Returns
-     * the address, with the port that was given out where none was asked for.
+     * Listens on this address only; each connection gets a state machine of its own, up to as many as the limits
+     * allow. Returns the address, with the port that was given out where none was asked for.
      *
      * @throws IllegalArgumentException where the address can't be had
      */
-    public InetSocketAddress listen(InetSocketAddress address, Supplier<Protocol> protocols, int most) {
-        Admission admission = new Admission(most);
+    public InetSocketAddress listen(InetSocketAddress address, Supplier<Protocol> protocols, CallerLimits limits) {
+        Admission admission = new Admission(limits.connections());
         ServerBootstrap server = new ServerBootstrap().group(loop.netty()).channel(NioServerSocketChannel.class)
                 .option(ChannelOption.SO_BACKLOG, BACKLOG).option(ChannelOption.SO_REUSEADDR, true)
                 .childOption(ChannelOption.TCP_NODELAY, true)
                 .childOption(ChannelOption.ALLOCATOR, new UnpooledByteBufAllocator(false))
-                .childOption(ChannelOption.RECVBUF_ALLOCATOR,
-                        new AdaptiveRecvByteBufAllocator(FIRST_READ, USUAL_READ, LONGEST_READ))
+                .childOption(ChannelOption.RECVBUF_ALLOCATOR, new AdaptiveRecvByteBufAllocator(FIRST_READ, USUAL_READ,
+                        LONGEST_READ).maxMessagesPerRead(MOST_READS))
                 .childHandler(new ChannelInitializer<SocketChannel>() {
                     @Override
                     protected void initChannel(SocketChannel channel) {
                         Protocol protocol = protocols.get();
-                        Driver driver = new Driver(protocol, limitedLog);
+                        Driver driver = new Driver(protocol, limits.unwritten(), limitedLog);
                         if (!admission.admit(protocol, driver)) {
                             limitedLog.warn("connection from {0} turned away: {1} are open, all with calls",
                                     channel.remoteAddress(), Integer.toString(admission.size()));
@@ -81,7 +86,7 @@
                 .option(ChannelOption.ALLOCATOR, new UnpooledByteBufAllocator(false))
                 .option(ChannelOption.RECVBUF_ALLOCATOR,
                         new AdaptiveRecvByteBufAllocator(FIRST_READ, USUAL_READ, LONGEST_READ))
-                .handler(new Driver(protocol, limitedLog));
+                .handler(new Driver(protocol, MOST_UNWRITTEN, limitedLog));
         loop.execute(() -> client.connect(address).addListener(done -> {
             if (!done.isSuccess()) {
                 protocol.closed(end(done.cause()));
--- a/src/main/java/pathlane/platform/CallerSession.java
+++ b/src/main/java/pathlane/platform/CallerSession.java
@@ -32,6 +32,7 @@
     private final BooleanSupplier ready;
     private final FrameAssembler assembler = Message.assembler();
     private final FrameDeadline unfinished;
+    private final RateLimit messages;
     private final RateLimit unknownReleases;
     private Connection connection;
     private Scheduler.Timer idle;
@@ -49,6 +50,7 @@
         this.ready = ready;
         this.unfinished = new FrameDeadline(scheduler, limits.unfinished(),
                 () -> connection.close(ConnectionEnd.UNFINISHED));
+        this.messages = new RateLimit(limits.messages(), limits.messageEvery(), scheduler);
         this.unknownReleases = new RateLimit(limits.unknownReleases(), limits.unknownReleaseEvery(), scheduler);
         this.used = scheduler.now();
     }
@@ -94,6 +96,10 @@
 
     private void message(Message message) {
         used = scheduler.now();
+        if (!messages.take()) {
+            // Guards the usual callers' time: whoever sends at full speed would have most of it.
+            throw new BadInput("too many messages");
+        }
         switch (message.type) {
             case Message.SET_UP -> setUp(message);
             case Message.RELEASE -> {
--- /dev/null
+++ b/src/test/java/pathlane/exchange/FloodTest.java
@@ -0,0 +1,41 @@
+package pathlane.exchange;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** A caller that sends at full speed loses its connection, on both fronts; one that sends as fast as is allowed does not. */
+class FloodTest {
+
+    private static final int AT_ONCE = 1000;
+
+    private static Stage stage(String front) throws IOException {
+        return new Stage(front.equals("diameter"),
+                Files.readString(Path.of("src/test/resources/exchanges", front, "config.json")));
+    }
+
+    @Test
+    void platform() throws IOException {
+        String progress = "c > " + "{2 06 e12b454a5d3a91c4} ";
+        Stage stage = stage("platform");
+        stage.play(List.of("accept 5001", "accept 5002", "open c",
+                "c > " + "{2 06 e12b454a5d3a91c4} ".repeat(AT_ONCE), "wait 1", progress, "wait 1", progress, progress,
+                "c closed BAD_INPUT"));
+    }
+
+    @Test
+    void diameter() throws IOException {
+        String answer = "[00 280 0 00000009 00000009 <268 u32:2001>] ";
+        Stage stage = stage("diameter");
+        stage.play(List.of("refuse 3870", "refuse 3871", "open c",
+                "c > [80 257 0 00000001 00000001 <264 \"client.example\"> <296 \"example\"> <257 00017f000001>"
+                        + " <266 u32:0> <269 \"stand-in\"> <258 u32:4>]",
+                "c < [00 257 0 00000001 00000001 <268 u32:2001> <264 \"controller.pathlane.example\">"
+                        + " <296 \"pathlane.example\"> <257 00017f000001> <266 u32:0> 0000010d 00000010 \"pathlane\""
+                        + " <258 u32:4>]",
+                "c > " + answer.repeat(AT_ONCE - 1), "wait 1", "c > " + answer, "c > " + answer,
+                "c closed BAD_INPUT"));
+    }
+}
