Counters told to collectd where the Diameter front's file asks for it

Each counter is one value of type derive in the network plugin's binary protocol, at once and every interval, in datagrams of 1,452 bytes at most that stand for themselves. Off unless the file has an object collectd, and never on the platform.

Not told: signed or encrypted datagrams, which collectd asks for only where its security level says so.

--- a/src/main/java/pathlane/Node.java
+++ b/src/main/java/pathlane/Node.java
@@ -17,6 +17,7 @@
 import pathlane.core.CallController;
 import pathlane.diameter.DiameterFront;
 import pathlane.link.Protocol;
+import pathlane.metrics.CollectdReporter;
 import pathlane.metrics.GraphiteReporter;
 import pathlane.net.EventLoop;
 import pathlane.net.Network;
@@ -64,6 +65,10 @@
                 new GraphiteReporter(config.graphite(), diameter.controller().counters(), node.network, node.loop)
                         .start();
             }
+            if (config.collectd() != null) {
+                new CollectdReporter(config.collectd(), config.host(), diameter.controller().counters(), node.network,
+                        node.loop).start();
+            }
             return new Front(diameter.controller(), diameter::accept, config.callers(),
                     diameter::disconnect, () -> {
                 throw new IllegalArgumentException("the Diameter front reads its file at its start alone");
--- /dev/null
+++ b/src/main/java/pathlane/config/CollectdConfig.java
@@ -0,0 +1,21 @@
+package pathlane.config;
+
+import com.google.gson.JsonObject;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+
+/** Where and how often counters are told to collectd. */
+public record CollectdConfig(InetSocketAddress address, Duration interval) {
+
+    private static final long INTERVAL_MS = 10_000;
+
+    /** Reads the object {@code collectd} of a configuration, or gives null where there is none. */
+    static CollectdConfig read(JsonObject root) {
+        if (!root.has("collectd")) {
+            return null;
+        }
+        JsonObject collectd = SettingsReader.object(root, "collectd");
+        return new CollectdConfig(NodeConfig.address(NodeConfig.text(collectd, "address")),
+                NodeConfig.interval(collectd, "collectd", INTERVAL_MS));
+    }
+}
--- a/src/main/java/pathlane/config/DiameterConfig.java
+++ b/src/main/java/pathlane/config/DiameterConfig.java
@@ -16,10 +16,11 @@
  *
  * @param callers what clients may take up, from the descriptors in {@code limits}
  * @param graphite where counters are told, or null
+ * @param collectd where counters are told too, or null
  */
 public record DiameterConfig(String host, String realm, InetSocketAddress listen, Duration watchdog,
                              List<Peer> peers, List<ServiceClass> classes, Settings settings,
-                             CallerLimits callers, GraphiteConfig graphite) {
+                             CallerLimits callers, GraphiteConfig graphite, CollectdConfig collectd) {
 
     /** RFC 3539 allows no less. */
     private static final Duration LEAST_WATCHDOG = Duration.ofSeconds(6);
@@ -78,7 +79,8 @@
         }
         DiameterConfig config = new DiameterConfig(NodeConfig.text(root, "host"), NodeConfig.text(root, "realm"),
                 NodeConfig.address(NodeConfig.text(root, "listen")), watchdog, List.copyOf(peers),
-                List.copyOf(classes), settings, NodeConfig.callers(root), GraphiteConfig.read(root));
+                List.copyOf(classes), settings, NodeConfig.callers(root), GraphiteConfig.read(root),
+                CollectdConfig.read(root));
         config.classOf(-1);
         return config;
     }
--- a/src/main/java/pathlane/config/GraphiteConfig.java
+++ b/src/main/java/pathlane/config/GraphiteConfig.java
@@ -15,12 +15,7 @@
             return null;
         }
         JsonObject graphite = SettingsReader.object(root, "graphite");
-        Duration interval = Duration.ofMillis(graphite.has("interval-ms") ? graphite.get("interval-ms").getAsLong()
-                : INTERVAL_MS);
-        if (interval.compareTo(Duration.ZERO) <= 0) {
-            throw new IllegalArgumentException("graphite's interval-ms is not above nought");
-        }
         return new GraphiteConfig(NodeConfig.address(NodeConfig.text(graphite, "address")),
-                NodeConfig.text(graphite, "prefix"), interval);
+                NodeConfig.text(graphite, "prefix"), NodeConfig.interval(graphite, "graphite", INTERVAL_MS));
     }
 }
--- a/src/main/java/pathlane/config/NodeConfig.java
+++ b/src/main/java/pathlane/config/NodeConfig.java
@@ -7,6 +7,7 @@
 import java.net.InetSocketAddress;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.time.Duration;
 
 /**
  * What a real call controller finds in RELAY_CONFIG.
@@ -66,6 +67,15 @@
         return from.get(key).getAsString();
     }
 
+    /** Reads {@code interval-ms} of the named object. */
+    static Duration interval(JsonObject from, String name, long usualMs) {
+        Duration interval = Duration.ofMillis(from.has("interval-ms") ? from.get("interval-ms").getAsLong() : usualMs);
+        if (interval.compareTo(Duration.ZERO) <= 0) {
+            throw new IllegalArgumentException(name + "'s interval-ms is not above nought");
+        }
+        return interval;
+    }
+
     /** Reads {@code host:port}. */
     public static InetSocketAddress address(String text) {
         int colon = text.lastIndexOf(':');
--- a/src/main/java/pathlane/net/Network.java
+++ b/src/main/java/pathlane/net/Network.java
@@ -2,13 +2,17 @@
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.Unpooled;
 import io.netty.buffer.UnpooledByteBufAllocator;
 import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.ConnectTimeoutException;
+import io.netty.channel.socket.DatagramPacket;
 import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioDatagramChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import java.net.ConnectException;
@@ -18,12 +22,13 @@
 import pathlane.config.CallerLimits;
 import pathlane.core.ConnectionEnd;
 import pathlane.link.Admission;
+import pathlane.link.Datagrams;
 import pathlane.link.Dialer;
 import pathlane.link.LimitedLog;
 import pathlane.link.Protocol;
 
 /** Listens and dials for both fronts, on one event loop. */
-public final class Network implements Dialer {
+public final class Network implements Dialer, Datagrams {
 
     private static final int BACKLOG = 512;
     private static final int FIRST_READ = 512;
@@ -35,6 +40,8 @@
     private static final long MOST_UNWRITTEN = 1 << 20;
     private final EventLoop loop;
     private final LimitedLog limitedLog;
+    /** The one socket that datagrams leave by, once there are any. */
+    private ChannelFuture datagrams;
 
     public Network(EventLoop loop) {
         this.loop = loop;
@@ -94,6 +101,16 @@
         }));
     }
 
+    @Override
+    public void send(InetSocketAddress to, byte[] datagram) {
+        if (datagrams == null) {
+            datagrams = new Bootstrap().group(loop.netty()).channel(NioDatagramChannel.class)
+                    .handler(new ChannelInboundHandlerAdapter()).bind(0);
+        }
+        datagrams.addListener(bound -> datagrams.channel()
+                .writeAndFlush(new DatagramPacket(Unpooled.wrappedBuffer(datagram), to)));
+    }
+
     private static ConnectionEnd end(Throwable cause) {
         if (cause instanceof ConnectTimeoutException) {
             return ConnectionEnd.DIAL_TIMED_OUT;
--- a/src/test/java/pathlane/exchange/Stage.java
+++ b/src/test/java/pathlane/exchange/Stage.java
@@ -26,8 +26,10 @@
 import pathlane.diameter.DiameterFront;
 import pathlane.link.Admission;
 import pathlane.link.Connection;
+import pathlane.link.Datagrams;
 import pathlane.link.Dialer;
 import pathlane.link.Protocol;
+import pathlane.metrics.CollectdReporter;
 import pathlane.metrics.GraphiteReporter;
 import pathlane.platform.PlatformFront;
 
@@ -37,11 +39,12 @@
  * then named by the port, or by {@code accept PORT NAME};
  * {@code NAME > bytes} the other side writes; {@code NAME < bytes} the program has written just that next;
  * {@code NAME ends END} the other side ends it; {@code NAME closed END} the program has closed it;
+ * {@code udp-PORT < bytes} it has sent just that datagram next;
  * {@code NAME answers watchdogs} as a Diameter peer that is well; {@code no dial PORT}; {@code wait MS};
  * {@code bus PORT} the configuration is read again and names this port;
  * {@code lag MS} what comes next has waited so long for an own stall. Before each input and wait, all that the program wrote must have been named.
  */
-final class Stage implements Scheduler, Dialer {
+final class Stage implements Scheduler, Dialer, Datagrams {
 
     private record Due(Instant at, long order, Runnable task) implements Comparable<Due> {
         @Override
@@ -114,6 +117,10 @@
             if (parsed.graphite() != null) {
                 new GraphiteReporter(parsed.graphite(), front.controller().counters(), this, this).start();
             }
+            if (parsed.collectd() != null) {
+                new CollectdReporter(parsed.collectd(), parsed.host(), front.controller().counters(), this, this)
+                        .start();
+            }
         } else {
             NodeConfig parsed = NodeConfig.parse(config);
             PlatformFront front = new PlatformFront(parsed, this, this, () -> true);
@@ -254,6 +261,11 @@
         return () -> timers.remove(due);
     }
 
+    @Override
+    public void send(InetSocketAddress to, byte[] datagram) {
+        lines.computeIfAbsent("udp-" + to.getPort(), name -> new Line(null)).write(datagram);
+    }
+
     @Override
     public void dial(InetSocketAddress address, Duration timeout, Protocol protocol) {
         dials.computeIfAbsent(address.getPort(), port -> new ArrayDeque<>()).add(protocol);
