The log names the Diameter server that is down

Seen in the log of a start without its servers: 'connection closed before its capabilities: REFUSED', without a name, for a server that this node dials (PeerSession.closed knew the name from the exchange alone). ServerPeer, which knows whom it dials, says it now.

--- a/src/main/java/pathlane/diameter/PeerSession.java
+++ b/src/main/java/pathlane/diameter/PeerSession.java
@@ -289,9 +289,9 @@
         if (exchange != null) {
             exchange.cancel();
         }
-        if (peer.equals(UNKNOWN)) {
+        if (!dialled && peer.equals(UNKNOWN)) {
             local.log().warn("connection closed before its capabilities: {0}", end);
-        } else {
+        } else if (!dialled) {
             LOG.log(Level.INFO, "peer {0} is closed: {1}", peer, end);
         }
         handler.closed(this, end);
--- a/src/main/java/pathlane/diameter/ServerPeer.java
+++ b/src/main/java/pathlane/diameter/ServerPeer.java
@@ -248,6 +248,7 @@
             return;
         }
         session = null;
+        LOG.log(Level.INFO, "peer {0} is DOWN: {1}", config.host(), end);
         watchdog.connectionDown();
         List<String> broken = List.copyOf(out.values());
         out.clear();
