--- a/src/main/java/pathlane/config/CallerLimits.java
+++ b/src/main/java/pathlane/config/CallerLimits.java
@@ -14,7 +14,7 @@
  * @param messageEvery one more of these is allowed each time so long has passed
  * @param unwritten bytes that may wait for one connection's other side to read; more close it
  * @param faults set-ups that can't be used, on one connection; the next one closes it
- * @param unknownReleases releases of unknown calls that one connection may bring at once
+ * @param unknownReleases releases of unknown calls from one connection that are passed on at once; more are dropped
  * @param unknownReleaseEvery one more of these is allowed each time so long has passed
  */
 public record CallerLimits(int connections, Duration unfinished, Duration unused, Duration idle, int messages,
@@ -34,6 +34,6 @@
             throw new IllegalArgumentException("limits.sockets is too small: " + descriptors);
         }
         return new CallerLimits(Math.max(descriptors - RESERVED, descriptors / LEAST_PART), Duration.ofMillis(1500),
-                Duration.ofSeconds(2), Duration.ofSeconds(6), 1000, Duration.ofMillis(1), 128 * 1024, 8, 100, Duration.ofMillis(20));
+                Duration.ofSeconds(2), Duration.ofSeconds(6), 5000, Duration.ofNanos(200_000), 128 * 1024, 8, 100, Duration.ofMillis(20));
     }
 }
--- a/src/main/java/pathlane/platform/CallerSession.java
+++ b/src/main/java/pathlane/platform/CallerSession.java
@@ -103,11 +103,9 @@
         switch (message.type) {
             case Message.SET_UP -> setUp(message);
             case Message.RELEASE -> {
-                if (!controller.callerReleased(message.id(), NOTHING, this)) {
-                    if (!unknownReleases.take()) {
-                        // Guards the session servers: each of them hears of every call that nobody knows here.
-                        throw new BadInput("too many releases of unknown calls");
-                    }
+                // Guards the session servers: each of them hears of every call that nobody knows here. More than are
+                // allowed are dropped; what else the connection carries may be a usual caller's.
+                if (!controller.callerReleased(message.id(), NOTHING, this) && unknownReleases.take()) {
                     controller.releaseEverywhere(message.id());
                 }
             }
