Callers' connections whose calls stand give way last

CallerSession.idleSince gave a connection with standing calls the same place as one that says nothing, so that the first to go were usual callers' that wait for their calls' ends.

Now such a connection sorts behind all others. Exchange one-gives-way has it, and fails without.

--- a/src/main/java/pathlane/platform/CallerSession.java
+++ b/src/main/java/pathlane/platform/CallerSession.java
@@ -24,6 +24,8 @@
 public final class CallerSession implements Protocol, CallerPort {
 
     private static final byte[] NOTHING = {};
+    /** Longer than any connection without a call that stands stays idle. */
+    private static final Duration GIVES_WAY_LAST = Duration.ofDays(1);
 
     private final CallController controller;
     private final CallerLimits limits;
@@ -78,9 +80,10 @@
         }
     }
 
+    /** A connection whose calls stand gives way last: their ends are told there. */
     @Override
     public Instant idleSince() {
-        return controller.openOn(this) > 0 ? null : used;
+        return controller.openOn(this) > 0 ? null : controller.standingOn(this) > 0 ? used.plus(GIVES_WAY_LAST) : used;
     }
 
     @Override
