Build in Maven modules: core without I/O, and the daemon as one jar

Need: a user of a client-side plug-in must not pull in the daemon, and every later part needs a core that runs in virtual time.

Change: `core` holds decision, config, core and link; `daemon` holds the fronts, net, metrics, the simulator's wire and Main, shaded to daemon/target/pathlane.jar. What reads the daemon's files moved to config.file, so that core opens none.

--- a/src/main/java/pathlane/config/SettingsReader.java
+++ b/core/src/main/java/pathlane/config/SettingsReader.java
@@ -69,11 +69,13 @@
         return from.has(key) && !from.get(key).isJsonNull() ? from.get(key).getAsDouble() : absent;
     }
 
-    static JsonObject object(JsonObject from, String key) {
+    /** The object under a key, empty where there is none. */
+    public static JsonObject object(JsonObject from, String key) {
         return from.has(key) && from.get(key).isJsonObject() ? from.getAsJsonObject(key) : new JsonObject();
     }
 
-    static JsonArray array(JsonObject from, String key) {
+    /** The array under a key, empty where there is none. */
+    public static JsonArray array(JsonObject from, String key) {
         return from.has(key) && from.get(key).isJsonArray() ? from.getAsJsonArray(key) : new JsonArray();
     }
 }
--- /dev/null
+++ b/core/src/test/java/pathlane/BoundariesTest.java
@@ -0,0 +1,53 @@
+package pathlane;
+
+import static com.tngtech.archunit.core.domain.JavaClass.Predicates.resideInAnyPackage;
+import static com.tngtech.archunit.lang.syntax.ArchRuleDefinition.noClasses;
+
+import com.tngtech.archunit.base.DescribedPredicate;
+import com.tngtech.archunit.core.domain.JavaClass;
+import com.tngtech.archunit.core.domain.JavaClasses;
+import com.tngtech.archunit.core.importer.ClassFileImporter;
+import com.tngtech.archunit.core.importer.ImportOption;
+import java.net.InetSocketAddress;
+import java.time.Clock;
+import java.util.Date;
+import org.junit.jupiter.api.Test;
+
+/** Keeps I/O, threads and clocks out of this module, so that everything in it runs in virtual time. */
+class BoundariesTest {
+
+    private static final JavaClasses CORE = new ClassFileImporter()
+            .withImportOption(ImportOption.Predefined.DO_NOT_INCLUDE_TESTS).importPackages("pathlane");
+
+    private static final DescribedPredicate<JavaClass> AN_ADDRESS =
+            JavaClass.Predicates.type(InetSocketAddress.class).or(JavaClass.Predicates.type(java.net.InetAddress.class));
+
+    @Test
+    void noClassOpensASocketOrAFileOrStartsAThread() {
+        noClasses().should().dependOnClassesThat(resideInAnyPackage("java.net..", "java.nio.channels..",
+                "java.nio.file..", "java.io..", "io.netty..", "io.grpc..").and(DescribedPredicate.not(AN_ADDRESS)))
+                .orShould().dependOnClassesThat().belongToAnyOf(Thread.class, java.util.concurrent.Executor.class)
+                .check(CORE);
+    }
+
+    @Test
+    void noClassReadsAClock() {
+        noClasses().should().callMethod(System.class, "nanoTime").orShould()
+                .callMethod(System.class, "currentTimeMillis").orShould().callMethod(java.time.Instant.class, "now")
+                .orShould().dependOnClassesThat().belongToAnyOf(Clock.class, Date.class).check(CORE);
+    }
+
+    @Test
+    void theDecisionsKnowNothingButTheSettings() {
+        noClasses().that().resideInAPackage("pathlane.decision").should().dependOnClassesThat(
+                resideInAnyPackage("pathlane..").and(DescribedPredicate.not(
+                        resideInAnyPackage("pathlane.decision", "pathlane.config")))).check(CORE);
+    }
+
+    @Test
+    void theSettingsKnowNoOtherPartOfTheProgram() {
+        noClasses().that().resideInAPackage("pathlane.config").should().dependOnClassesThat(
+                resideInAnyPackage("pathlane..").and(DescribedPredicate.not(
+                        resideInAnyPackage("pathlane.config")))).check(CORE);
+    }
+}
--- a/src/test/java/pathlane/decision/EmbeddingTest.java
+++ b/core/src/test/java/pathlane/decision/EmbeddingTest.java
@@ -46,6 +46,6 @@
     void theReadmeShowsTheSameExample() throws Exception {
         String here = Files.readString(Path.of("src/test/java/pathlane/decision/EmbeddingTest.java"));
         String example = here.substring(here.indexOf("// example\n") + 11, here.indexOf("        // end of example"));
-        assertTrue(Files.readString(Path.of("README.md")).contains(example.replaceAll("(?m)^ {8}", "")));
+        assertTrue(Files.readString(Path.of("../README.md")).contains(example.replaceAll("(?m)^ {8}", "")));
     }
 }
--- a/src/main/java/pathlane/config/CallerLimits.java
+++ b/daemon/src/main/java/pathlane/config/file/CallerLimits.java
@@ -1,4 +1,4 @@
-package pathlane.config;
+package pathlane.config.file;
 
 import java.time.Duration;
 
--- a/src/main/java/pathlane/config/CollectdConfig.java
+++ b/daemon/src/main/java/pathlane/config/file/CollectdConfig.java
@@ -1,8 +1,9 @@
-package pathlane.config;
+package pathlane.config.file;
 
 import com.google.gson.JsonObject;
 import java.net.InetSocketAddress;
 import java.time.Duration;
+import pathlane.config.SettingsReader;
 
 /** Where and how often counters are told to collectd. */
 public record CollectdConfig(InetSocketAddress address, Duration interval) {
--- a/src/main/java/pathlane/config/DiameterConfig.java
+++ b/daemon/src/main/java/pathlane/config/file/DiameterConfig.java
@@ -1,4 +1,4 @@
-package pathlane.config;
+package pathlane.config.file;
 
 import com.google.gson.JsonElement;
 import com.google.gson.JsonObject;
@@ -10,6 +10,8 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import pathlane.config.Settings;
+import pathlane.config.SettingsReader;
 
 /**
  * What the Diameter front is told: who it is, where it listens, its server peers and its classes.
--- a/src/main/java/pathlane/config/NodeConfig.java
+++ b/daemon/src/main/java/pathlane/config/file/NodeConfig.java
@@ -1,4 +1,4 @@
-package pathlane.config;
+package pathlane.config.file;
 
 import com.google.gson.JsonArray;
 import com.google.gson.JsonObject;
@@ -8,6 +8,8 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Duration;
+import pathlane.config.Settings;
+import pathlane.config.SettingsReader;
 
 /**
  * What a real call controller finds in RELAY_CONFIG.
--- a/src/main/java/pathlane/diameter/ClientPeer.java
+++ b/daemon/src/main/java/pathlane/diameter/ClientPeer.java
@@ -8,7 +8,7 @@
 import java.util.Map;
 import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
-import pathlane.config.DiameterConfig;
+import pathlane.config.file.DiameterConfig;
 import pathlane.core.CallController;
 import pathlane.core.CallerPort;
 import pathlane.core.ConnectionEnd;
--- a/src/main/java/pathlane/diameter/DiameterFront.java
+++ b/daemon/src/main/java/pathlane/diameter/DiameterFront.java
@@ -6,7 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.random.RandomGenerator;
-import pathlane.config.DiameterConfig;
+import pathlane.config.file.DiameterConfig;
 import pathlane.core.CallController;
 import pathlane.core.Scheduler;
 import pathlane.core.ServerLine;
--- a/src/main/java/pathlane/diameter/LocalNode.java
+++ b/daemon/src/main/java/pathlane/diameter/LocalNode.java
@@ -1,7 +1,7 @@
 package pathlane.diameter;
 
 import java.util.List;
-import pathlane.config.CallerLimits;
+import pathlane.config.file.CallerLimits;
 import pathlane.link.LimitedLog;
 
 /**
--- a/src/main/java/pathlane/diameter/PeerSession.java
+++ b/daemon/src/main/java/pathlane/diameter/PeerSession.java
@@ -8,7 +8,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.random.RandomGenerator;
-import pathlane.config.CallerLimits;
+import pathlane.config.file.CallerLimits;
 import pathlane.core.ConnectionEnd;
 import pathlane.core.Scheduler;
 import pathlane.link.Connection;
--- a/src/main/java/pathlane/diameter/ServerPeer.java
+++ b/daemon/src/main/java/pathlane/diameter/ServerPeer.java
@@ -14,7 +14,7 @@
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
-import pathlane.config.DiameterConfig;
+import pathlane.config.file.DiameterConfig;
 import pathlane.core.CallController;
 import pathlane.core.ConnectionEnd;
 import pathlane.core.Scheduler;
--- a/src/main/java/pathlane/metrics/CollectdReporter.java
+++ b/daemon/src/main/java/pathlane/metrics/CollectdReporter.java
@@ -4,7 +4,7 @@
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.Locale;
-import pathlane.config.CollectdConfig;
+import pathlane.config.file.CollectdConfig;
 import pathlane.core.Counters;
 import pathlane.core.Scheduler;
 import pathlane.link.Datagrams;
--- a/src/main/java/pathlane/metrics/GraphiteReporter.java
+++ b/daemon/src/main/java/pathlane/metrics/GraphiteReporter.java
@@ -6,7 +6,7 @@
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.Locale;
-import pathlane.config.GraphiteConfig;
+import pathlane.config.file.GraphiteConfig;
 import pathlane.core.ConnectionEnd;
 import pathlane.core.Counters;
 import pathlane.core.Scheduler;
--- a/src/main/java/pathlane/net/Network.java
+++ b/daemon/src/main/java/pathlane/net/Network.java
@@ -19,7 +19,7 @@
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.function.Supplier;
-import pathlane.config.CallerLimits;
+import pathlane.config.file.CallerLimits;
 import pathlane.core.ConnectionEnd;
 import pathlane.link.Admission;
 import pathlane.link.Datagrams;
--- a/src/main/java/pathlane/platform/CallerSession.java
+++ b/daemon/src/main/java/pathlane/platform/CallerSession.java
@@ -4,7 +4,7 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.function.BooleanSupplier;
-import pathlane.config.CallerLimits;
+import pathlane.config.file.CallerLimits;
 import pathlane.core.CallController;
 import pathlane.core.CallerPort;
 import pathlane.core.ConnectionEnd;
--- a/src/main/java/pathlane/platform/PlatformFront.java
+++ b/daemon/src/main/java/pathlane/platform/PlatformFront.java
@@ -1,9 +1,9 @@
 package pathlane.platform;
 
 import java.util.function.BooleanSupplier;
-import pathlane.config.CallerLimits;
-import pathlane.config.NodeConfig;
-import pathlane.config.ServerLimits;
+import pathlane.config.file.CallerLimits;
+import pathlane.config.file.NodeConfig;
+import pathlane.config.file.ServerLimits;
 import pathlane.core.CallController;
 import pathlane.core.Scheduler;
 import pathlane.link.Dialer;
--- a/src/main/java/pathlane/platform/ServerLink.java
+++ b/daemon/src/main/java/pathlane/platform/ServerLink.java
@@ -11,7 +11,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.function.Supplier;
-import pathlane.config.ServerLimits;
+import pathlane.config.file.ServerLimits;
 import pathlane.config.Settings;
 import pathlane.core.CallController;
 import pathlane.core.ConnectionEnd;
--- a/src/main/java/pathlane/platform/ServerList.java
+++ b/daemon/src/main/java/pathlane/platform/ServerList.java
@@ -9,7 +9,7 @@
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.List;
-import pathlane.config.NodeConfig;
+import pathlane.config.file.NodeConfig;
 import pathlane.core.ServerLine;
 import pathlane.decision.Gateway.Mode;
 
