Retry recognition and shares of the cold budget, as decisions in core

Need: an application whose own loop calls again makes a new call each time, which the module can't tie to the first; and several senders that see only their own traffic must not push a cold server over together.

Change: `retry.RetryGuard` knows a call by a 64-bit key, counts its tries under the first and says when it may leave; it stands on `VainIndex`, an expiring hash index of a fixed size, and where that overflows a barrier keeps the gap for whoever may have been forgotten. `cold.ColdShare` deals the budget of a server whose warm rate is stated out by turns; the sum stays under the rule by construction, for any load. The platform's messages and its event bus moved to a module `wire`, for the plug-in and the stand-in. Nothing uses the two decisions yet.

Seen failing: with a larger share kept ripe, with a count that changes nothing, without the barrier, with a clock let run back; with a wrong shift on deletion the index's test does not end.

--- /dev/null
+++ b/core/src/test/java/pathlane/cold/ColdShareTest.java
@@ -0,0 +1,101 @@
+package pathlane.cold;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+import org.junit.jupiter.api.Test;
+import pathlane.config.Settings.Rules;
+
+class ColdShareTest {
+
+    private static final double PER_SECOND = 30;
+    private static final long SERVER = 9;
+    private static final Rules RULES = new Rules(0.28, Duration.ofMillis(13_000), 3, Duration.ofMillis(1500),
+            Duration.ofMillis(200));
+
+    private static List<ColdShare> shares(int senders) {
+        List<ColdShare> shares = new ArrayList<>();
+        for (int own = 0; own < senders; own++) {
+            ColdShare share = new ColdShare(RULES, PER_SECOND, senders, own);
+            share.started(SERVER, 1000);
+            shares.add(share);
+        }
+        return shares;
+    }
+
+    /** What the rule allows in a window that begins so long after the start. */
+    private static double allowed(double sinceMs) {
+        return 3 * PER_SECOND / 1000 * (0.28 + 0.72 * sinceMs / 13_000) * 1500;
+    }
+
+    /** However many senders, and however their load comes and goes, no window holds more than the rule allows. */
+    @Test
+    void allSendersTogetherStayUnderTheRuleInEveryWindow() {
+        for (int senders : new int[] {1, 2, 3, 7, 8, 30, 200}) {
+            SplittableRandom random = new SplittableRandom(senders);
+            List<ColdShare> shares = shares(senders);
+            List<Double> sent = new ArrayList<>();
+            int wanting = 0;
+            for (double now = 1000; now < 14_000; now += 5) {
+                wanting = random.nextInt(100) == 0 ? random.nextInt(senders + 1) : wanting;
+                for (int one = 0; one < senders; one++) {
+                    // Those who want send all they may; the others save up what they are let.
+                    while (one >= wanting && shares.get(one).mayTake(SERVER, now)) {
+                        shares.get(one).taken(SERVER);
+                        sent.add(now);
+                    }
+                }
+            }
+            assertTrue(sent.size() > 20, senders + " senders sent " + sent.size());
+            for (int i = 0; i < sent.size(); i++) {
+                double from = sent.get(i);
+                long inWindow = sent.stream().filter(at -> at >= from && at < from + 1500).count();
+                assertTrue(inWindow <= allowed(from - 1000),
+                        senders + " senders sent " + inWindow + " from " + from + ", allowed " + allowed(from - 1000));
+            }
+        }
+    }
+
+    @Test
+    void aLoneSenderGetsHalfOfWhatTheRuleAllows() {
+        ColdShare share = shares(1).get(0);
+        int sent = 0;
+        for (double now = 1000; now < 13_999; now++) {
+            if (share.mayTake(SERVER, now)) {
+                share.taken(SERVER);
+                sent++;
+            }
+        }
+        assertEquals(0.5 * 3 * 30 * (0.28 * 13 + 0.72 * 13 / 2), sent, 1);
+    }
+
+    @Test
+    void aServerThatIsWarmOrUnknownIsNoneOfItsBusiness() {
+        ColdShare share = shares(200).get(199);
+        assertFalse(share.mayTake(SERVER, 1001));
+        assertTrue(share.mayTake(SERVER, 14_000));
+        assertTrue(share.mayTake(SERVER + 1, 1001));
+    }
+
+    @Test
+    void aLiveCountChangesTheShareFromThenOn() {
+        ColdShare share = shares(100).get(99);
+        assertFalse(share.mayTake(SERVER, 1500));
+        share.count(1, 0);
+        assertTrue(share.mayTake(SERVER, 1500));
+        assertThrows(IllegalArgumentException.class, () -> share.count(2, 2));
+    }
+
+    @Test
+    void figuresThatMakeNoSenseAreRefused() {
+        assertThrows(IllegalArgumentException.class, () -> new ColdShare(RULES, 0, 1, 0));
+        assertThrows(IllegalArgumentException.class, () -> new ColdShare(RULES, Double.NaN, 1, 0));
+        assertThrows(IllegalArgumentException.class, () -> new ColdShare(RULES, 1, 0, 0));
+    }
+}
--- /dev/null
+++ b/core/src/test/java/pathlane/retry/VainIndexTest.java
@@ -0,0 +1,66 @@
+package pathlane.retry;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.SplittableRandom;
+import org.junit.jupiter.api.Test;
+
+class VainIndexTest {
+
+    private record Plain(double firstAt, double notBefore, int tries, double putAt) { }
+
+    /** Against a plain map that is scanned, over keys that crowd into few slots, with expiry and overflow. */
+    @Test
+    void itKeepsWhatAPlainMapOfTheSameBoundsKeeps() {
+        for (long seed = 1; seed <= 40; seed++) {
+            SplittableRandom random = new SplittableRandom(seed);
+            int capacity = 1 + random.nextInt(12);
+            VainIndex index = new VainIndex(capacity, 50);
+            Map<Long, Plain> plain = new LinkedHashMap<>();
+            double barrier = Double.NEGATIVE_INFINITY;
+            double now = 0;
+            for (int step = 0; step < 3000; step++) {
+                now += random.nextInt(8);
+                double at = now;
+                plain.values().removeIf(entry -> at - entry.putAt >= 50);
+                long key = random.nextInt(20) - 3L;
+                int entry = index.find(key, now);
+                assertEquals(plain.containsKey(key), entry != VainIndex.NONE, "seed " + seed + " step " + step);
+                if (entry != VainIndex.NONE) {
+                    assertEquals(plain.get(key), new Plain(index.firstAt(entry), index.notBefore(entry),
+                            index.tries(entry), plain.get(key).putAt));
+                }
+                if (random.nextInt(4) == 0) {
+                    index.forget(key);
+                    plain.remove(key);
+                } else if (random.nextBoolean()) {
+                    if (plain.remove(key) == null && plain.size() == capacity) {
+                        Iterator<Plain> oldest = plain.values().iterator();
+                        barrier = Math.max(barrier, oldest.next().notBefore);
+                        oldest.remove();
+                    }
+                    plain.put(key, new Plain(now - 3, now + step % 7, step % 5 + 1, now));
+                    index.put(key, now, now - 3, now + step % 7, step % 5 + 1);
+                }
+                assertEquals(plain.size(), index.size());
+                assertEquals(barrier, index.barrier());
+            }
+        }
+    }
+
+    @Test
+    void afterAMillionCallsItStillHoldsItsCapacityAndNoMore() {
+        VainIndex index = new VainIndex(1000, 1e9);
+        for (long key = 0; key < 1_000_000; key++) {
+            index.put(key * 64, key, key, key + 200, 1);
+        }
+        assertEquals(1000, index.size());
+        assertTrue(index.find(999_999 * 64, 1e6) != VainIndex.NONE);
+        assertEquals(VainIndex.NONE, index.find(0, 1e6));
+        assertEquals(998_999 + 200, index.barrier());
+    }
+}
--- a/daemon/src/main/java/pathlane/platform/CallerSession.java
+++ b/daemon/src/main/java/pathlane/platform/CallerSession.java
@@ -16,6 +16,10 @@
 import pathlane.link.LimitedLog;
 import pathlane.link.Protocol;
 import pathlane.link.RateLimit;
+import pathlane.wire.BadInput;
+import pathlane.wire.Cause;
+import pathlane.wire.FrameAssembler;
+import pathlane.wire.Message;
 
 /**
  * One connection from callers: many calls share it, each named by its id. It is closed where it breaks the protocol,
--- a/daemon/src/main/java/pathlane/platform/PlatformFront.java
+++ b/daemon/src/main/java/pathlane/platform/PlatformFront.java
@@ -1,6 +1,7 @@
 package pathlane.platform;
 
 import java.util.function.BooleanSupplier;
+import pathlane.bus.BusFeed;
 import pathlane.config.file.CallerLimits;
 import pathlane.config.file.NodeConfig;
 import pathlane.config.file.ServerLimits;
@@ -28,7 +29,7 @@
         this.callerLog = new LimitedLog("callers", scheduler);
         controller = new CallController(config.settings(), config.seed(), scheduler,
                 line -> new ServerLink(line, config.settings(), ServerLimits.USUAL, this::controller, dialer, scheduler));
-        ServerList.known(config).forEach(event -> controller.listed(event.whole(), event.lines()));
+        KnownEvents.read(config).forEach(event -> controller.listed(event.whole(), event.lines()));
         feed = new BusFeed(config.knownOffset(), dialer, scheduler,
                 event -> controller.listed(event.whole(), event.lines()));
         if (config.bus() != null) {
--- a/daemon/src/main/java/pathlane/platform/ServerLink.java
+++ b/daemon/src/main/java/pathlane/platform/ServerLink.java
@@ -1,7 +1,7 @@
 package pathlane.platform;
 
-import java.lang.System.Logger;
 import java.lang.System.Logger.Level;
+import java.lang.System.Logger;
 import java.nio.ByteBuffer;
 import java.time.Duration;
 import java.time.Instant;
@@ -11,8 +11,9 @@
 import java.util.List;
 import java.util.Map;
 import java.util.function.Supplier;
-import pathlane.config.file.ServerLimits;
+import pathlane.bus.ServerList;
 import pathlane.config.Settings;
+import pathlane.config.file.ServerLimits;
 import pathlane.core.CallController;
 import pathlane.core.ConnectionEnd;
 import pathlane.core.Scheduler;
@@ -24,6 +25,10 @@
 import pathlane.link.Dialer;
 import pathlane.link.FrameDeadline;
 import pathlane.link.Protocol;
+import pathlane.wire.BadInput;
+import pathlane.wire.Cause;
+import pathlane.wire.FrameAssembler;
+import pathlane.wire.Message;
 
 /**
  * The way to one session server: a few connections that all calls share, the first dialled when the server is first
@@ -73,7 +78,7 @@
     public ServerLink(ServerLine server, Settings settings, ServerLimits limits, Supplier<CallController> controller,
                       Dialer dialer, Scheduler scheduler) {
         this.server = server;
-        this.name = serverName(server.id());
+        this.name = ServerList.serverName(server.id());
         this.idleAfter = settings.idleClose().multipliedBy(IDLE_PERCENT).dividedBy(100);
         this.settings = settings;
         this.limits = limits;
@@ -83,11 +88,6 @@
         dialOne();
     }
 
-    /** How ids of session servers stand in text. */
-    public static String serverName(long id) {
-        return String.format("s-%08x", id);
-    }
-
     /** Dials where nothing is up or dialled; a connection that is being closed is neither. */
     private void dial() {
         if (!closed && sessions.stream().allMatch(session -> session.ending)) {
--- a/daemon/src/main/java/pathlane/platform/SetUpReader.java
+++ b/daemon/src/main/java/pathlane/platform/SetUpReader.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import pathlane.config.Settings;
 import pathlane.core.SetUp;
+import pathlane.wire.Message;
 
 /**
  * Reads a caller's set-up. Guards session servers against what they can't use: they answer it with an error, and some
--- a/daemon/src/main/java/pathlane/platform/BusFeed.java
+++ b/wire/src/main/java/pathlane/bus/BusFeed.java
@@ -1,4 +1,4 @@
-package pathlane.platform;
+package pathlane.bus;
 
 import java.lang.System.Logger;
 import java.lang.System.Logger.Level;
@@ -12,6 +12,8 @@
 import pathlane.link.Connection;
 import pathlane.link.Dialer;
 import pathlane.link.Protocol;
+import pathlane.wire.BadInput;
+import pathlane.wire.FrameAssembler;
 
 /**
  * Follows the event bus from the last event on, over as many connections as it takes. The bus may move to another
@@ -127,7 +129,7 @@
             ServerList list = read(number, kind, frame);
             last = number;
             list.lines().forEach(line -> LOG.log(Level.INFO, "event {0}: server {1} at {2} is {3}",
-                    Long.toString(number), ServerLink.serverName(line.id()), line.address(), line.mode()));
+                    Long.toString(number), ServerList.serverName(line.id()), line.address(), line.mode()));
             events.accept(list);
         }
 
--- a/daemon/src/main/java/pathlane/platform/ServerList.java
+++ b/wire/src/main/java/pathlane/bus/ServerList.java
@@ -1,7 +1,5 @@
-package pathlane.platform;
+package pathlane.bus;
 
-import com.google.gson.JsonElement;
-import com.google.gson.JsonObject;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.UnknownHostException;
@@ -9,12 +7,12 @@
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.List;
-import pathlane.config.file.NodeConfig;
 import pathlane.core.ServerLine;
 import pathlane.decision.Gateway.Mode;
+import pathlane.wire.BadInput;
 
 /**
- * An event of the list of session servers, in its two forms: records of the event bus, and JSON in {@code known}.
+ * An event of the list of session servers.
  *
  * @param whole whether the lines are the whole list, or what has changed
  */
@@ -49,36 +47,9 @@
         return new ServerList(whole, lines);
     }
 
-    /** Reads the events of {@code known}; an event that can't be read is refused with its place. */
-    public static List<ServerList> known(NodeConfig config) {
-        List<ServerList> events = new ArrayList<>();
-        try {
-            for (JsonElement element : config.knownEvents()) {
-                JsonObject topology = element.getAsJsonObject().getAsJsonObject("topology");
-                List<ServerLine> lines = new ArrayList<>();
-                for (JsonElement host : topology.getAsJsonArray("hosts")) {
-                    lines.add(line(host.getAsJsonObject()));
-                }
-                events.add(new ServerList(topology.get("whole").getAsBoolean(), lines));
-            }
-            return events;
-        } catch (RuntimeException e) {
-            throw new IllegalArgumentException("known event " + (events.size() + 1) + " can't be read: "
-                    + e.getMessage());
-        }
-    }
-
-    private static ServerLine line(JsonObject host) {
-        Mode mode = switch (host.get("health").getAsString()) {
-            case "SERVING" -> Mode.RUNNING;
-            case "DRAINING" -> Mode.DRAINING;
-            case "DELETED" -> Mode.GONE;
-            default -> throw new IllegalArgumentException("health " + host.get("health"));
-        };
-        return new ServerLine(Long.parseLong(host.get("host").getAsString().substring(2), 16),
-                NodeConfig.address(host.get("dial").getAsString()), mode, host.get("block").getAsInt(),
-                host.has("share") ? host.get("share").getAsDouble() : 1,
-                Instant.ofEpochMilli(host.has("born_ms") ? host.get("born_ms").getAsLong() : 0));
+    /** The server's id as every page and log writes it: {@code s-} and 8 hex digits. */
+    public static String serverName(long id) {
+        return String.format("s-%08x", id);
     }
 
     private static InetSocketAddress socket(byte[] address, int port) {
--- a/daemon/src/main/java/pathlane/platform/Cause.java
+++ b/wire/src/main/java/pathlane/wire/Cause.java
@@ -1,14 +1,14 @@
-package pathlane.platform;
+package pathlane.wire;
 
 import pathlane.decision.Gateway.Ending;
 
 /** The causes of releases and what they mean to the module, both ways. */
-final class Cause {
+public final class Cause {
 
-    static final int OVER = 16;
-    static final int FAILED = 31;
-    static final int CUT = 41;
-    static final int TURNED_AWAY = 42;
+    public static final int OVER = 16;
+    public static final int FAILED = 31;
+    public static final int CUT = 41;
+    public static final int TURNED_AWAY = 42;
 
     private static final int BUSY = 17;
     private static final int FULL = 34;
@@ -18,7 +18,7 @@
     private Cause() { }
 
     /** How an attempt or a standing call ended, from a session server's release. */
-    static Ending ending(int cause, String note) {
+    public static Ending ending(int cause, String note) {
         return switch (cause) {
             case FULL -> note.equals("no_path") ? Ending.NO_FREE_LINE : Ending.REJECTED;
             case BUSY, OUT_OF_ORDER -> note.equals("line_taken") ? Ending.ENGAGED : Ending.ERROR;
@@ -30,7 +30,7 @@
     }
 
     /** The cause of a release of a call that stood. */
-    static int ofRelease(Ending how) {
+    public static int ofRelease(Ending how) {
         return how == Ending.RESET ? CUT : OVER;
     }
 }
--- a/daemon/src/main/java/pathlane/platform/FrameAssembler.java
+++ b/wire/src/main/java/pathlane/wire/FrameAssembler.java
@@ -1,4 +1,4 @@
-package pathlane.platform;
+package pathlane.wire;
 
 import java.nio.ByteBuffer;
 import java.util.Arrays;
@@ -8,7 +8,7 @@
  * Cuts a stream of bytes into frames that begin with their length, whatever the pieces it comes in: frames in
  * parts, several at once, and too long ones, which are refused before they are gathered.
  */
-final class FrameAssembler {
+public final class FrameAssembler {
 
     private static final int FIRST_SIZE = 512;
 
@@ -19,19 +19,19 @@
     private int size;
 
     /** Lengths are big-endian, {@code lengthBytes} wide, and count what follows them. */
-    FrameAssembler(int lengthBytes, int shortest, int longest) {
+    public FrameAssembler(int lengthBytes, int shortest, int longest) {
         this.lengthBytes = lengthBytes;
         this.shortest = shortest;
         this.longest = longest;
     }
 
     /** Whether a frame has begun and not ended. */
-    boolean begun() {
+    public boolean begun() {
         return size > 0;
     }
 
     /** Takes bytes; hands on each whole frame, without its length, before the next is looked at. Returns how many. */
-    int feed(ByteBuffer bytes, Consumer<ByteBuffer> frames) {
+    public int feed(ByteBuffer bytes, Consumer<ByteBuffer> frames) {
         int ended = 0;
         while (bytes.hasRemaining()) {
             int wanted = size < lengthBytes ? lengthBytes : lengthBytes + length();
--- a/daemon/src/main/java/pathlane/platform/Message.java
+++ b/wire/src/main/java/pathlane/wire/Message.java
@@ -1,4 +1,4 @@
-package pathlane.platform;
+package pathlane.wire;
 
 import java.io.ByteArrayOutputStream;
 import java.nio.ByteBuffer;
@@ -7,50 +7,50 @@
 import java.util.Map;
 
 /** One message between callers, call controllers and session servers. */
-final class Message {
-
-    static final int SET_UP = 1;
-    static final int PROGRESS = 6;
-    static final int ANSWER = 9;
-    static final int RELEASE = 12;
-    static final int RELEASE_HEARD = 16;
-    static final int GROUP_STATE = 43;
-    static final int TEST = 52;
-    static final int TEST_RESULT = 53;
-
-    static final int CLASS = 129;
-    static final int PATIENCE = 132;
-    static final int NUMBER = 141;
-    static final int FIGURES = 144;
-    static final int COME_BACK = 147;
-    static final int NOTE = 150;
-    static final int STATE = 156;
-    static final int CAUSE = 171;
-    static final int DESCRIPTION = 174;
+public final class Message {
+
+    public static final int SET_UP = 1;
+    public static final int PROGRESS = 6;
+    public static final int ANSWER = 9;
+    public static final int RELEASE = 12;
+    public static final int RELEASE_HEARD = 16;
+    public static final int GROUP_STATE = 43;
+    public static final int TEST = 52;
+    public static final int TEST_RESULT = 53;
+
+    public static final int CLASS = 129;
+    public static final int PATIENCE = 132;
+    public static final int NUMBER = 141;
+    public static final int FIGURES = 144;
+    public static final int COME_BACK = 147;
+    public static final int NOTE = 150;
+    public static final int STATE = 156;
+    public static final int CAUSE = 171;
+    public static final int DESCRIPTION = 174;
 
     private static final int LENGTH_BYTES = 2;
     private static final int HEAD = 1 + Long.BYTES;
     private static final int LONGEST = 16 * 1024;
 
-    final int type;
-    final long call;
+    public final int type;
+    public final long call;
     private final Map<Integer, byte[]> parameters = new LinkedHashMap<>();
 
-    Message(int type, long call) {
+    public Message(int type, long call) {
         this.type = type;
         this.call = call;
     }
 
-    Message(int type, String call) {
+    public Message(int type, String call) {
         this(type, Long.parseUnsignedLong(call, 16));
     }
 
     /** The assembler for a connection that carries these messages. */
-    static FrameAssembler assembler() {
+    public static FrameAssembler assembler() {
         return new FrameAssembler(LENGTH_BYTES, HEAD, LONGEST);
     }
 
-    static Message read(ByteBuffer frame) {
+    public static Message read(ByteBuffer frame) {
         Message message = new Message(frame.get() & 0xff, frame.getLong());
         while (frame.hasRemaining()) {
             if (frame.remaining() < 1 + LENGTH_BYTES) {
@@ -69,36 +69,36 @@
     }
 
     /** The call's id in text: 16 hex digits. */
-    String id() {
+    public String id() {
         StringBuilder id = new StringBuilder(Long.toHexString(call));
         return id.insert(0, "0".repeat(Long.BYTES * 2 - id.length())).toString();
     }
 
-    Message with(int code, byte[] value) {
+    public Message with(int code, byte[] value) {
         parameters.put(code, value);
         return this;
     }
 
-    Message with(int code, String text) {
+    public Message with(int code, String text) {
         return with(code, text.getBytes(StandardCharsets.UTF_8));
     }
 
-    Message withCause(int cause) {
+    public Message withCause(int cause) {
         return with(CAUSE, new byte[] {(byte) cause});
     }
 
     /** The raw value, or null where there is none. */
-    byte[] value(int code) {
+    public byte[] value(int code) {
         return parameters.get(code);
     }
 
     /** The value as text, empty where there is none. */
-    String text(int code) {
+    public String text(int code) {
         byte[] value = parameters.get(code);
         return value == null ? "" : new String(value, StandardCharsets.UTF_8);
     }
 
-    int cause() {
+    public int cause() {
         byte[] value = parameters.get(CAUSE);
         if (value == null || value.length != 1) {
             throw new BadInput("a message of type " + type + " without a cause of one byte");
@@ -106,7 +106,7 @@
         return value[0] & 0xff;
     }
 
-    byte[] bytes() {
+    public byte[] bytes() {
         ByteArrayOutputStream out = new ByteArrayOutputStream();
         out.writeBytes(ByteBuffer.allocate(LENGTH_BYTES + HEAD).putShort((short) 0).put((byte) type)
                 .putLong(call).array());
