Plug-in for gRPC channels: balancer, interceptor and bus resolver around the core

Need: client office systems that speak gRPC want a library. gRPC's own retries and hedging would make attempts behind the module's back.

Change: module `grpc`. An interceptor owns a call over all its attempts, each a stream to the one server that the module chose; the balancer leads it there and lets no second stream of an attempt leave. Every status maps to one Ending in Endings; refusals bear RetryInfo and pushback; a call known as a retry, by a mark or by what it asks, is counted under its first try and waits for the gap. Servers come from any resolver or from one that follows the event bus. Module `standin`: a processor model with a gRPC front, virtual time and a rule checker. In the module, a call whose attempt ended in an error goes to another server first: in the plug-in's test all six attempts of a call went to one server that answered nothing but errors.

--- a/core/src/main/java/pathlane/decision/Logic.java
+++ b/core/src/main/java/pathlane/decision/Logic.java
@@ -4,9 +4,11 @@
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.Comparator;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.TreeMap;
 import java.util.function.DoubleUnaryOperator;
@@ -89,7 +91,7 @@
     private final Rate arrivals;
     private double wakeAt = Double.NaN;
     private double askAt = Double.NaN;
-    private long[] barred = {};
+    private final Set<Long> barred = new HashSet<>();
     private boolean passDue = true;
     private double barredAt = Double.NEGATIVE_INFINITY;
     private double purgedAt = Double.NEGATIVE_INFINITY;
@@ -169,7 +171,7 @@
             calls.put(call.id(), setup);
             held.add(setup);
             // Its kind found no room in this tick, and a call more makes none: the next bell tries again.
-            passDue = now - barredAt >= settings.tickMs() * TICK_PART || !isBarred(setup.alike(now));
+            passDue = now - barredAt >= settings.tickMs() * TICK_PART || !barred.contains(setup.alike(now));
             for (Server server : servers.values()) {
                 if (server.mode == Mode.RUNNING && setup.mayGoTo(server)) {
                     server.detect(now, classLimit[call.callClass()]);
@@ -304,6 +306,7 @@
                 server.pace(now, call, end.elapsedMs(), 1);
             }
             case ENGAGED -> engaged(now, call);
+            case ERROR -> call.erredAt = server;
             default -> { }
         }
         if (end.closed() || call.done) {
@@ -392,19 +395,18 @@
             waiting.sort(DEAREST_FIRST);   // nearly in order from the last time
             held.clear();
             // Guards against a long line of held calls: one of a kind that found no room speaks for the rest.
-            barred = new long[0];
+            barred.clear();
             barredAt = now;
             for (Setup call : waiting) {
                 if (now >= call.holdUntil || now < engagedUntil && numbers.containsKey(call.number())
                         && now < numbers.get(call.number()).nextPass) {
                     finish(now, call);
-                } else if (now < call.notBefore || isBarred(call.alike(now))) {
+                } else if (now < call.notBefore || barred.contains(call.alike(now))) {
                     held.add(call);
                 } else if (!place(now, call)) {
                     held.add(call);
                     if (call.finalBy - now >= classLimit[call.kind()]) {
-                        barred = Arrays.copyOf(barred, barred.length + 1);
-                        barred[barred.length - 1] = call.alike(now);
+                        barred.add(call.alike(now));
                     }
                 }
             }
@@ -413,14 +415,6 @@
         wake(now);
     }
 
-    private boolean isBarred(long kind) {
-        int i = 0;
-        while (i < barred.length && barred[i] != kind) {
-            i++;
-        }
-        return i < barred.length;
-    }
-
     /** Asks for the next bell; a held call whose time ends before one asked for gets one of its own. */
     private void wake(double now) {
         if (calls.isEmpty() && Double.isNaN(askAt)) {
@@ -471,7 +465,7 @@
         Server first = null;
         double least = Double.MAX_VALUE;
         for (Server server : servers.values()) {
-            if (call.mayGoTo(server) && server.passes(now, call)) {
+            if (server != call.erredAt && call.mayGoTo(server) && server.passes(now, call)) {
                 open.add(server);
                 least = Math.min(least, server.delay(now));
                 if (server.pool == call.asked.firstChoice()) {
@@ -480,7 +474,10 @@
             }
         }
         if (open.isEmpty()) {
-            return false;
+            if (call.erredAt == null || call.erredAt.mode != Mode.RUNNING || !call.erredAt.passes(now, call)) {
+                return false;
+            }
+            open.add(call.erredAt);
         }
         boolean good = first != null && first.level == 0
                 && first.delay(now) <= Math.max(GOOD_SHARE * classLimit[call.kind()], least);
@@ -526,6 +523,8 @@
         double countedFrom;
         double deadline;
         Server server;
+        /** Answered the last attempt with an error: others come first, in case it does so to all. */
+        Server erredAt;
         boolean standing;
         boolean done;
         boolean mayHaveRun;
--- a/core/src/main/java/pathlane/retry/RetryGuard.java
+++ b/core/src/main/java/pathlane/retry/RetryGuard.java
@@ -18,11 +18,12 @@
     /**
      * What is known of a call that comes in.
      *
+     * @param first the id of its first try; its own where this is the first
      * @param firstAt when its first try came; now where this is the first
      * @param tries tries of it that ended in vain before this one
      * @param notBefore when it may leave at the soonest; now, where nothing holds it back
      */
-    public record Admission(double firstAt, int tries, double notBefore) {
+    public record Admission(long first, double firstAt, int tries, double notBefore) {
 
         /** Whether an earlier try of the same call ended in vain. */
         public boolean isRetry() {
@@ -33,9 +34,9 @@
     private final VainIndex vain;
     private final double gapMs;
     private double lastAt = Double.NEGATIVE_INFINITY;
-    private long firstTries;
-    private long retries;
-    private long heldBack;
+    private volatile long firstTries;
+    private volatile long retries;
+    private volatile long heldBack;
 
     /**
      * A guard that remembers nothing yet.
@@ -58,22 +59,22 @@
         return vain.find(0, now) == VainIndex.NONE && vain.size() == 0 && now >= vain.barrier();
     }
 
-    /** A call comes in that is known by its key. */
-    public Admission arrived(long key, double now) {
+    /** A call comes in, under an id of its own, that is known by its key. */
+    public Admission arrived(long key, long id, double now) {
         double at = onward(now);
         int entry = vain.find(key, at);
         if (entry == VainIndex.NONE) {
             firstTries++;
-            return new Admission(at, 0, held(at, vain.barrier()));
+            return new Admission(id, at, 0, held(at, vain.barrier()));
         }
         retries++;
-        return new Admission(vain.firstAt(entry), vain.tries(entry), held(at, vain.notBefore(entry)));
+        return new Admission(vain.first(entry), vain.firstAt(entry), vain.tries(entry), held(at, vain.notBefore(entry)));
     }
 
     /** A call comes in while nothing is remembered: a first try, whatever its key. */
-    public Admission arrivedFresh(double now) {
+    public Admission arrivedFresh(long id, double now) {
         firstTries++;
-        return new Admission(onward(now), 0, lastAt);
+        return new Admission(id, onward(now), 0, lastAt);
     }
 
     private double held(double now, double until) {
@@ -91,7 +92,7 @@
         double at = onward(now);
         double notBefore = Math.max(admission.notBefore(), lostAt.isPresent() ? lostAt.getAsDouble() + gapMs
                 : Double.NEGATIVE_INFINITY);
-        vain.put(key, at, admission.firstAt(), notBefore, admission.tries() + 1);
+        vain.put(key, at, admission.first(), admission.firstAt(), notBefore, admission.tries() + 1);
     }
 
     /** A try's call stood: whoever asks the same from now on asks anew. */
--- a/core/src/main/java/pathlane/retry/VainIndex.java
+++ b/core/src/main/java/pathlane/retry/VainIndex.java
@@ -28,6 +28,7 @@
     private final double[] notBefore;
     private final double[] putAt;
     private final int[] tries;
+    private final long[] first;
     private final int[] older;
     private final int[] newer;
     private int oldest = NONE;
@@ -61,6 +62,7 @@
         notBefore = new double[capacity];
         putAt = new double[capacity];
         tries = new int[capacity];
+        first = new long[capacity];
         older = new int[capacity];
         newer = new int[capacity];
         for (int i = 0; i < capacity; i++) {
@@ -76,8 +78,7 @@
     /** The entry of a key that is still kept at this time, or {@link #NONE}. */
     int find(long key, double now) {
         expire(now);
-        int entry = table[slotOf(key)];
-        return entry;
+        return table[slotOf(key)];
     }
 
     /** When the first try of this entry's call came. */
@@ -95,13 +96,18 @@
         return tries[entry];
     }
 
+    /** The id of this entry's first try. */
+    long first(int entry) {
+        return first[entry];
+    }
+
     /** Until when a key that is not found may have been forgotten before its time; minus infinity where none was. */
     double barrier() {
         return barrier;
     }
 
     /** Notes that a try of this key's call ended in vain; the entry is kept from now on for its whole span again. */
-    void put(long key, double now, double firstTryAt, double leavesNotBefore, int triesSoFar) {
+    void put(long key, double now, long firstTry, double firstTryAt, double leavesNotBefore, int triesSoFar) {
         expire(now);
         int slot = slotOf(key);
         int entry = table[slot];
@@ -119,6 +125,7 @@
         } else {
             unlink(entry);
         }
+        first[entry] = firstTry;
         firstAt[entry] = firstTryAt;
         notBefore[entry] = leavesNotBefore;
         tries[entry] = triesSoFar;
--- a/core/src/test/java/pathlane/decision/TroubleTest.java
+++ b/core/src/test/java/pathlane/decision/TroubleTest.java
@@ -276,4 +276,22 @@
             bench.answer(bench.last());
         }
     }
+
+    @Test
+    void afterAnErrorAnotherServerComesFirstAndTheSameOneWhereThereIsNoOther() {
+        for (int servers = 2; servers <= 3; servers++) {
+            Bench bench = new Bench(Bench.settings(0));
+            bench.list(servers == 2 ? new Gateway.Listed[] {Bench.running(1), Bench.running(2)}
+                    : new Gateway.Listed[] {Bench.running(1), Bench.running(2), Bench.running(3)});
+            bench.call("a", 0, 1);
+            assertEquals(1, bench.sent.get(0).server(), "first choice");
+            bench.end(bench.sent.get(0), Gateway.Ending.ERROR);
+            assertTrue(bench.sent.get(1).server() != 1, "another");
+        }
+        Bench alone = new Bench(Bench.settings(0));
+        alone.list(Bench.running(1));
+        alone.call("a", 0, 1);
+        alone.end(alone.sent.get(0), Gateway.Ending.ERROR);
+        assertEquals(1, alone.sent.get(1).server());
+    }
 }
--- a/core/src/test/java/pathlane/retry/RetryGuardTest.java
+++ b/core/src/test/java/pathlane/retry/RetryGuardTest.java
@@ -18,14 +18,14 @@
 
     @Test
     void aRetryCountsUnderItsFirstTryAndWaitsForTheGap() {
-        Admission first = guard.arrived(7, 1000);
+        Admission first = guard.arrived(7, 50, 1000);
         assertFalse(first.isRetry());
         guard.inVain(7, first, OptionalDouble.of(1500), 1510);
-        Admission second = guard.arrived(7, 1515);
-        assertEquals(new Admission(1000, 1, 1700), second);
+        Admission second = guard.arrived(7, 51, 1515);
+        assertEquals(new Admission(50, 1000, 1, 1700), second);
         guard.inVain(7, second, NOT_LOST, 1520);
-        assertEquals(new Admission(1000, 2, 1700), guard.arrived(7, 1600));
-        assertEquals(new Admission(1000, 2, 1800), guard.arrived(7, 1800));
+        assertEquals(new Admission(50, 1000, 2, 1700), guard.arrived(7, 50, 1600));
+        assertEquals(new Admission(50, 1000, 2, 1800), guard.arrived(7, 50, 1800));
         assertEquals(1, guard.firstTries());
         assertEquals(3, guard.retries());
         assertEquals(2, guard.heldBack());
@@ -33,39 +33,39 @@
 
     @Test
     void aTryThatEndedWithoutALossMayLeaveAtOnce() {
-        guard.inVain(7, guard.arrived(7, 1000), NOT_LOST, 1010);
-        assertEquals(new Admission(1000, 1, 1011), guard.arrived(7, 1011));
+        guard.inVain(7, guard.arrived(7, 50, 1000), NOT_LOST, 1010);
+        assertEquals(new Admission(50, 1000, 1, 1011), guard.arrived(7, 50, 1011));
     }
 
     @Test
     void whatStoodOrIsLongOverIsAskedAnew() {
-        guard.inVain(7, guard.arrived(7, 1000), OptionalDouble.of(1000), 1000);
+        guard.inVain(7, guard.arrived(7, 50, 1000), OptionalDouble.of(1000), 1000);
         guard.stood(7);
-        assertFalse(guard.arrived(7, 1001).isRetry());
-        guard.inVain(8, guard.arrived(8, 1002), NOT_LOST, 1002);
-        assertTrue(guard.arrived(8, 10_001).isRetry());
-        assertFalse(guard.arrived(8, 10_002).isRetry());
+        assertFalse(guard.arrived(7, 50, 1001).isRetry());
+        guard.inVain(8, guard.arrived(8, 50, 1002), NOT_LOST, 1002);
+        assertTrue(guard.arrived(8, 50, 10_001).isRetry());
+        assertFalse(guard.arrived(8, 50, 10_002).isRetry());
         assertTrue(guard.remembersNothing(10_002));
     }
 
     @Test
     void whereTheIndexOverflowsTheGapIsKeptForWhoeverMayHaveBeenForgotten() {
         for (int key = 1; key <= 3; key++) {
-            guard.inVain(key, guard.arrived(key, 1000), OptionalDouble.of(1000 + key), 1010);
+            guard.inVain(key, guard.arrived(key, 50, 1000), OptionalDouble.of(1000 + key), 1010);
         }
         assertEquals(2, guard.remembered());
-        assertEquals(new Admission(1020, 0, 1201), guard.arrived(1, 1020));
-        assertEquals(new Admission(1202, 0, 1202), guard.arrived(99, 1202));
+        assertEquals(new Admission(50, 1020, 0, 1201), guard.arrived(1, 50, 1020));
+        assertEquals(new Admission(50, 1202, 0, 1202), guard.arrived(99, 50, 1202));
     }
 
     @Test
     void aClockThatMovesBackNeitherShortensAGapNorKeepsACallForLonger() {
-        Admission first = guard.arrived(7, 5000);
+        Admission first = guard.arrived(7, 50, 5000);
         guard.inVain(7, first, OptionalDouble.of(5000), 5000);
-        assertEquals(new Admission(5000, 1, 5200), guard.arrived(7, 1000));
-        guard.inVain(8, guard.arrived(8, 1001), OptionalDouble.of(1001), 1001);
-        assertEquals(new Admission(5000, 1, 13_999), guard.arrived(8, 13_999));
-        assertFalse(guard.arrived(8, 14_000).isRetry());
+        assertEquals(new Admission(50, 5000, 1, 5200), guard.arrived(7, 50, 1000));
+        guard.inVain(8, guard.arrived(8, 50, 1001), OptionalDouble.of(1001), 1001);
+        assertEquals(new Admission(50, 5000, 1, 13_999), guard.arrived(8, 50, 13_999));
+        assertFalse(guard.arrived(8, 50, 14_000).isRetry());
     }
 
     @Test
--- a/core/src/test/java/pathlane/retry/VainIndexTest.java
+++ b/core/src/test/java/pathlane/retry/VainIndexTest.java
@@ -33,6 +33,7 @@
                 if (entry != VainIndex.NONE) {
                     assertEquals(plain.get(key), new Plain(index.firstAt(entry), index.notBefore(entry),
                             index.tries(entry), plain.get(key).putAt));
+                    assertEquals(key, index.first(entry));
                 }
                 if (random.nextInt(4) == 0) {
                     index.forget(key);
@@ -44,7 +45,7 @@
                         oldest.remove();
                     }
                     plain.put(key, new Plain(now - 3, now + step % 7, step % 5 + 1, now));
-                    index.put(key, now, now - 3, now + step % 7, step % 5 + 1);
+                    index.put(key, now, key, now - 3, now + step % 7, step % 5 + 1);
                 }
                 assertEquals(plain.size(), index.size());
                 assertEquals(barrier, index.barrier());
@@ -56,7 +57,7 @@
     void afterAMillionCallsItStillHoldsItsCapacityAndNoMore() {
         VainIndex index = new VainIndex(1000, 1e9);
         for (long key = 0; key < 1_000_000; key++) {
-            index.put(key * 64, key, key, key + 200, 1);
+            index.put(key * 64, key, key, key, key + 200, 1);
         }
         assertEquals(1000, index.size());
         assertTrue(index.find(999_999 * 64, 1e6) != VainIndex.NONE);
--- /dev/null
+++ b/grpc/src/test/java/pathlane/grpc/Field.java
@@ -0,0 +1,234 @@
+package pathlane.grpc;
+
+import io.grpc.Attributes;
+import io.grpc.CallOptions;
+import io.grpc.ClientCall;
+import io.grpc.EquivalentAddressGroup;
+import io.grpc.ManagedChannel;
+import io.grpc.Metadata;
+import io.grpc.MethodDescriptor;
+import io.grpc.NameResolver;
+import io.grpc.NameResolverProvider;
+import io.grpc.NameResolverRegistry;
+import io.grpc.Server;
+import io.grpc.Status;
+import io.grpc.StatusOr;
+import io.grpc.inprocess.InProcessChannelBuilder;
+import io.grpc.inprocess.InProcessServerBuilder;
+import io.grpc.inprocess.InProcessSocketAddress;
+import java.io.IOException;
+import java.net.SocketAddress;
+import java.net.URI;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.atomic.AtomicInteger;
+import pathlane.standin.GrpcFront;
+import pathlane.standin.Processor;
+import pathlane.standin.RuleBook;
+import pathlane.standin.VirtualTime;
+
+/** Stand-in servers, a resolver and a plug-in's channels in one thread and in virtual time. */
+final class Field implements AutoCloseable {
+
+    static final String SETTINGS = """
+            {"balancers": 1, "tick-ms": 5,
+             "lanes": [{"name": "status-check", "aim-ms": 1500, "deadline-ms": 9000, "late-value": 0.25},
+                       {"name": "deadline-sign", "aim-ms": 800, "deadline-ms": 6000, "importance": 6,
+                        "late-value": 0.1}],
+             "ceilings": {"cancelling": true, "max-attempts": 6, "dial-timeout-ms": 500, "retry-after": true,
+                          "max-retry-after-ms": 2000},
+             "rules": {"cold-from": 0.28, "cold-ms": 13000, "fall-multiple": 3, "fall-ms": 1500},
+             "specifics": {"clear-wait-ms": 200, "t1-ms": 500}}
+            """;
+    private static final AtomicInteger FIELDS = new AtomicInteger();
+
+    /** One answer, as the application hears it. */
+    final class Heard extends ClientCall.Listener<byte[]> {
+        ClientCall<byte[], byte[]> call;
+        final List<String> messages = new ArrayList<>();
+        Status status;
+        Metadata trailers;
+        int closes;
+        double closedAt;
+        double firstAt = Double.NaN;
+        Runnable onClose = () -> { };
+
+        @Override
+        public void onMessage(byte[] message) {
+            firstAt = Double.isNaN(firstAt) ? time.nowMs() : firstAt;
+            messages.add(new String(message, StandardCharsets.UTF_8));
+        }
+
+        @Override
+        public void onClose(Status how, Metadata with) {
+            closes++;
+            status = how;
+            trailers = with;
+            closedAt = time.nowMs();
+            onClose.run();
+        }
+
+        Status.Code code() {
+            return status == null ? null : status.getCode();
+        }
+    }
+
+    final VirtualTime time = new VirtualTime();
+    final RuleBook rules = new RuleBook(200);
+    final Map<String, Processor> processors = new LinkedHashMap<>();
+    final Map<String, GrpcFront> fronts = new LinkedHashMap<>();
+    final List<Server> servers = new ArrayList<>();
+    final List<ManagedChannel> channels = new ArrayList<>();
+    final Pathlane pathlane;
+    private final String scheme = "field" + FIELDS.incrementAndGet();
+    private final List<NameResolver.Listener2> listeners = new ArrayList<>();
+    private List<String> listed = List.of();
+    private Map<String, ?> resolvedConfig;
+    private final NameResolverProvider provider = new Provider();
+
+    Field(String... names) {
+        this(Pathlane.builder().configuration(SETTINGS), names);
+    }
+
+    Field(Pathlane.Builder builder, String... names) {
+        NameResolverRegistry.getDefaultRegistry().register(provider);
+        pathlane = builder.seed(7).time(turn -> time).build();
+        for (String name : names) {
+            add(name);
+        }
+        listed = List.of(names);
+    }
+
+    /** A stand-in server of 30 calls a second. */
+    Processor add(String name) {
+        return add(name, 30);
+    }
+
+    Processor add(String name, double callsPerSecond) {
+        Processor processor = new Processor(Processor.Model.of(callsPerSecond,
+                PluginConfig.read(SETTINGS).settings().rules()), time);
+        GrpcFront front = new GrpcFront(name, processor, time, Runnable::run, Duration.ofSeconds(8), rules);
+        try {
+            servers.add(InProcessServerBuilder.forName(scheme + name).directExecutor().addService(front.service())
+                    .build().start());
+        } catch (IOException e) {
+            throw new IllegalStateException(e);
+        }
+        processors.put(name, processor);
+        fronts.put(name, front);
+        return processor;
+    }
+
+    /** The resolver names these servers from now on. */
+    void list(String... names) {
+        listed = List.of(names);
+        List.copyOf(listeners).forEach(this::tell);
+    }
+
+    private void tell(NameResolver.Listener2 listener) {
+        List<EquivalentAddressGroup> groups = new ArrayList<>();
+        listed.forEach(name -> groups.add(new EquivalentAddressGroup(new InProcessSocketAddress(scheme + name))));
+        listener.onResult2(NameResolver.ResolutionResult.newBuilder().setAddressesOrError(StatusOr.fromValue(groups))
+                .setAttributes(Attributes.EMPTY).build());
+    }
+
+    InProcessChannelBuilder builder(String target) {
+        return InProcessChannelBuilder.forTarget(scheme + ":///" + target).directExecutor();
+    }
+
+    ManagedChannel channel() {
+        return keep(pathlane.attach(builder("pool")).build());
+    }
+
+    ManagedChannel keep(ManagedChannel channel) {
+        channels.add(channel);
+        return channel;
+    }
+
+    /** Calls with a key by which the rules are watched over all tries. */
+    Heard call(ManagedChannel channel, MethodDescriptor<byte[], byte[]> method, CallOptions options, String key) {
+        Heard heard = new Heard();
+        ClientCall<byte[], byte[]> call = channel.newCall(method, options);
+        heard.call = call;
+        Metadata headers = new Metadata();
+        headers.put(GrpcFront.CALL, key);
+        call.start(heard, headers);
+        call.request(2);
+        call.sendMessage(key.getBytes(StandardCharsets.UTF_8));
+        call.halfClose();
+        return heard;
+    }
+
+    Heard check(ManagedChannel channel, String key) {
+        return call(channel, GrpcFront.CHECK, CallOptions.DEFAULT, key);
+    }
+
+    Heard sign(ManagedChannel channel, String key) {
+        return call(channel, GrpcFront.SIGN, CallOptions.DEFAULT.withOption(PathlaneOptions.CLASS, "deadline-sign"),
+                key);
+    }
+
+    @Override
+    public void close() {
+        channels.forEach(ManagedChannel::shutdownNow);
+        servers.forEach(Server::shutdownNow);
+        pathlane.close();
+        NameResolverRegistry.getDefaultRegistry().deregister(provider);
+    }
+
+    private final class Provider extends NameResolverProvider {
+
+        @Override
+        protected boolean isAvailable() {
+            return true;
+        }
+
+        @Override
+        protected int priority() {
+            return 5;
+        }
+
+        @Override
+        public String getDefaultScheme() {
+            return scheme;
+        }
+
+        @Override
+        public Collection<Class<? extends SocketAddress>> getProducedSocketAddressTypes() {
+            return Set.of(InProcessSocketAddress.class);
+        }
+
+        @Override
+        public NameResolver newNameResolver(URI target, NameResolver.Args args) {
+            if (!target.getScheme().equals(scheme)) {
+                return null;
+            }
+            return new NameResolver() {
+                private Listener2 mine;
+
+                @Override
+                public String getServiceAuthority() {
+                    return "field";
+                }
+
+                @Override
+                public void start(Listener2 listener) {
+                    mine = listener;
+                    listeners.add(listener);
+                    tell(listener);
+                }
+
+                @Override
+                public void shutdown() {
+                    listeners.remove(mine);
+                }
+            };
+        }
+    }
+}
--- /dev/null
+++ b/standin/src/main/java/pathlane/standin/VirtualTime.java
@@ -0,0 +1,65 @@
+package pathlane.standin;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.PriorityQueue;
+import pathlane.core.Scheduler;
+
+/** Time that moves when it is told to: tasks run in the order in which they are due, those due together as asked for. */
+public final class VirtualTime implements Scheduler {
+
+    private record Due(Instant at, long order, Runnable task) implements Comparable<Due> {
+        @Override
+        public int compareTo(Due other) {
+            int byTime = at.compareTo(other.at);
+            return byTime != 0 ? byTime : Long.compare(order, other.order);
+        }
+    }
+
+    private final PriorityQueue<Due> due = new PriorityQueue<>();
+    private Instant now = Instant.parse("2026-01-01T00:00:00Z");
+    private long order;
+
+    @Override
+    public Instant now() {
+        return now;
+    }
+
+    /** Milliseconds since the Unix epoch. */
+    public double nowMs() {
+        return now.toEpochMilli() + now.getNano() % 1_000_000 / 1e6;
+    }
+
+    @Override
+    public Duration lag() {
+        return Duration.ZERO;
+    }
+
+    @Override
+    public Timer after(Duration delay, Runnable task) {
+        Due one = new Due(now.plus(delay.isNegative() ? Duration.ZERO : delay), order++, task);
+        due.add(one);
+        return () -> due.remove(one);
+    }
+
+    /** Runs all that is due within this time, and leaves the clock at its end. */
+    public void pass(Duration time) {
+        Instant end = now.plus(time);
+        while (!due.isEmpty() && !due.peek().at().isAfter(end)) {
+            Due next = due.poll();
+            now = next.at();
+            next.task().run();
+        }
+        now = end;
+    }
+
+    /** The same, in milliseconds. */
+    public void pass(long millis) {
+        pass(Duration.ofMillis(millis));
+    }
+
+    /** Timers that are set. */
+    public int pending() {
+        return due.size();
+    }
+}
