Plug-in's hard cases under test; shared cold budget; a late answer of a server that has gone

Need: retries of unaware applications, a daemon beside a plug-in, GOAWAY, silence, and lists that go empty.

Change: `cold-share` in the settings puts ColdShare under the module's cold guard, off where absent; a lone sender tries a cold server one set-up at a time, since with nothing learned its budget was nought for 13 s and all calls were refused. SharedColdTest found a defect of the core: a call between attempts has no server, and a late answer of a server that has gone was taken for its answer; the call then stood nowhere and its release threw. The bus resolver's priority made it the default scheme: DNS targets went to it.

A lone set-up from each of many senders was tried and ruled out: RulesTest saw 274 in a window that allows fewer.

--- a/core/src/main/java/pathlane/cold/ColdShare.java
+++ b/core/src/main/java/pathlane/cold/ColdShare.java
@@ -2,6 +2,7 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import pathlane.config.Settings.ColdSenders;
 import pathlane.config.Settings.Rules;
 
 /**
@@ -45,19 +46,12 @@
     /**
      * A share that knows no server yet.
      *
-     * @param perSecond set-ups a second that a warm server can do, as stated by its operator; above nought
-     * @param senders how many senders share the budget, one at least
-     * @param own this sender's number, from 0
-     * @throws IllegalArgumentException where a figure can't be used
+     * @param all what a warm server can do, how many senders share the budget, and which one this is
      */
-    public ColdShare(Rules rules, double perSecond, int senders, int own) {
-        if (!(perSecond > 0) || Double.isInfinite(perSecond)) {
-            throw new IllegalArgumentException("set-ups a second of a warm server are " + perSecond
-                    + ": a figure above nought is wanted");
-        }
+    public ColdShare(Rules rules, ColdSenders all) {
         this.rules = rules;
-        this.perMs = perSecond / 1000;
-        count(senders, own);
+        this.perMs = all.perSecond() / 1000;
+        count(all.senders(), all.number());
     }
 
     /**
--- a/core/src/main/java/pathlane/config/Settings.java
+++ b/core/src/main/java/pathlane/config/Settings.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.List;
+import java.util.Optional;
 
 /**
  * What a call controller is told once, when it starts: the only settings type. The simulator's first message
@@ -10,10 +11,27 @@
  *
  * @param repeat a set-up that waits is sent again after this by the transport below; nought for never
  * @param mostRetryAfter the longest wait that a caller honours; nought where callers are told none
+ * @param coldSenders empty where servers' speed is not stated: the module then learns it
  */
 public record Settings(List<CallClass> classes, Rules rules, int balancers, int maxAttempts, Duration tick,
                        Duration repeat, boolean mayCancel, boolean mustAsk, int ownNumber,
-                       Duration dialTimeout, Duration idleClose, Duration mostRetryAfter) {
+                       Duration dialTimeout, Duration idleClose, Duration mostRetryAfter,
+                       Optional<ColdSenders> coldSenders) {
+
+    /**
+     * Senders that share the cold budget of servers whose speed is stated.
+     *
+     * @param perSecond set-ups a second that a warm server can do
+     * @param senders how many there are, this one included
+     * @param number this one's, from 0
+     */
+    public record ColdSenders(double perSecond, int senders, int number) {
+        public ColdSenders {
+            require(perSecond > 0 && !Double.isInfinite(perSecond), "set-ups-per-second");
+            require(senders > 0, "senders");
+            require(number >= 0 && number < senders, "number");
+        }
+    }
 
     /** A class of call: how soon it should stand, how long a caller tries, and what it is worth. */
     public record CallClass(String name, Duration aim, Duration deadline, double worth, double lateWorth,
@@ -89,7 +107,7 @@
     public Settings withClearWait(Duration clearWait) {
         return new Settings(classes, new Rules(rules.coldFrom, rules.cold, rules.fallMultiple, rules.fall,
                 clearWait), balancers, maxAttempts, tick, repeat, mayCancel, mustAsk, ownNumber, dialTimeout,
-                idleClose, mostRetryAfter);
+                idleClose, mostRetryAfter, coldSenders);
     }
 
     private static void require(boolean held, String name) {
--- a/core/src/main/java/pathlane/config/SettingsReader.java
+++ b/core/src/main/java/pathlane/config/SettingsReader.java
@@ -6,6 +6,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 
 /** Reads {@link Settings} from JSON, as the simulator's first message and RELAY_CONFIG write them. */
 public final class SettingsReader {
@@ -50,7 +51,13 @@
                 (int) number(specifics, "self-no", -1),
                 span(ceilings, "dial-timeout-ms", DIAL_TIMEOUT_MS),
                 span(ceilings, "idle-close-ms", IDLE_CLOSE_MS),
-                tellsWait ? span(ceilings, "max-retry-after-ms", 0) : Duration.ZERO);
+                tellsWait ? span(ceilings, "max-retry-after-ms", 0) : Duration.ZERO,
+                env.has("cold-share") ? Optional.of(coldSenders(object(env, "cold-share"))) : Optional.empty());
+    }
+
+    private static Settings.ColdSenders coldSenders(JsonObject share) {
+        return new Settings.ColdSenders(number(share, "set-ups-per-second", Double.NaN),
+                (int) number(share, "senders", 1), (int) number(share, "number", 0));
     }
 
     private static Duration span(JsonObject from, String key, double absent) {
--- a/core/src/main/java/pathlane/core/CallController.java
+++ b/core/src/main/java/pathlane/core/CallController.java
@@ -286,7 +286,8 @@
     public void answered(long serverId, String id, byte[] description) {
         Call call = calls.get(id);
         Server server = servers.get(serverId);
-        if (call == null || call.standing || call.server != server) {
+        // A server that has gone from the list has no calls, and a call between attempts has no server: not the same.
+        if (call == null || call.standing || server == null || call.server != server) {
             // Guards against a late answer of a given-up attempt: it holds the server's place for nobody.
             if (server != null && (call == null || call.server != server)) {
                 counters.count(Name.LATE_ANSWERS);
@@ -317,9 +318,9 @@
                 counters.count(Name.RELAYED_UNKNOWN);
                 relay(null, id, how);
             }
-        } else if (call.server == server && call.standing) {
+        } else if (server != null && call.server == server && call.standing) {
             finishStanding(call, how == Ending.COMPLETED ? how : Ending.RESET);
-        } else if (call.server == server && server != null) {
+        } else if (server != null && call.server == server) {
             call.patience.cancel();
             report(call, how == Ending.COMPLETED ? Ending.ERROR : how, false, statedWait);
         }
--- a/core/src/main/java/pathlane/decision/Logic.java
+++ b/core/src/main/java/pathlane/decision/Logic.java
@@ -8,11 +8,13 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.TreeMap;
 import java.util.function.DoubleUnaryOperator;
 import java.util.stream.IntStream;
+import pathlane.cold.ColdShare;
 import pathlane.config.Settings;
 import pathlane.config.Settings.CallClass;
 import pathlane.config.Settings.Rules;
@@ -67,6 +69,7 @@
     };
 
     private final Settings settings;
+    private final Optional<ColdShare> share;
     private final Actions actions;
     private final SplittableRandom random;
     private final double[] limits;
@@ -101,6 +104,7 @@
     /** Starts empty; the seed is the only source of chance. */
     public Logic(Settings settings, long seed, Actions actions) {
         this.settings = settings;
+        share = settings.coldSenders().map(all -> new ColdShare(settings.rules(), all));
         this.actions = actions;
         this.random = new SplittableRandom(seed);
         int count = settings.classes().size();
@@ -473,15 +477,12 @@
                 }
             }
         }
-        if (open.isEmpty()) {
-            if (call.erredAt == null || call.erredAt.mode != Mode.RUNNING || !call.erredAt.passes(now, call)) {
-                return false;
-            }
-            open.add(call.erredAt);
+        if (open.isEmpty() && (call.erredAt == null || !call.erredAt.passes(now, call))) {
+            return false;
         }
         boolean good = first != null && first.level == 0
                 && first.delay(now) <= Math.max(GOOD_SHARE * classLimit[call.kind()], least);
-        send(now, call, good ? first : draw(now, open));
+        send(now, call, good ? first : open.isEmpty() ? call.erredAt : draw(now, open));
         return true;
     }
 
@@ -682,6 +683,7 @@
 
         private void startsCold(double since, double now) {
             coldSince = since;
+            share.ifPresent(all -> all.started(id, since));
             tokens = random.nextDouble();
             tokensAt = now;
             pace = 0;
@@ -715,12 +717,7 @@
             return share * Math.max(FLOOR_SHARE * rate.last(), 1 / (memory * settings.balancers()));
         }
 
-        /** On each send and answer: five detections in a row change the level. */
-        void detect(double now) {
-            detect(now, Double.POSITIVE_INFINITY);
-        }
-
-        /** The same on each arrival, as if the call were admitted (section 5.2 of the paper). */
+        /** On each send and answer, and on each arrival as if it were admitted (section 5.2 of the paper). */
         void detect(double now, double offered) {
             if (now == stalledAt) {
                 return;
@@ -781,7 +778,7 @@
             // Guards against gaps that outlive their cause: few sends and answers are seen through a gate, so
             // a server that owes nothing is tested once a step too.
             if (level > 0 && unanswered.isEmpty() && now - detectedAt >= step) {
-                detect(now);
+                detect(now, Double.POSITIVE_INFINITY);
             }
             boolean gaps = level > 0;
             for (int r = 0; r < rank.length && (level == 2 || now - steppedAt >= step); r++) {
@@ -873,9 +870,10 @@
                 nextPass[c] = now + 1 / floor(c);
             }
             if (cold(now)) {
-                tokens -= 1;
+                tokens = Math.max(0, tokens - 1);
+                share.ifPresent(all -> all.taken(id));
             }
-            detect(now);
+            detect(now, Double.POSITIVE_INFINITY);
         }
 
         // -- what is seen of the server
@@ -905,7 +903,7 @@
             if (prompt) {
                 tokens += Math.min(1, fill(now) * settings.rules().fallMs());
             }
-            detect(now);
+            detect(now, Double.POSITIVE_INFINITY);
         }
 
         /** How far apart own set-ups to the server would be if they spread as the lines do. */
@@ -1009,18 +1007,18 @@
         /**
          * Rule four: this gateway's budget for a cold server, as a bucket of set-ups that fills with its
          * share of what the server can do so long after its start, at the least. The yardstick is the most
-         * that the servers answered to this gateway, one with another. It starts at a random level, so that
-         * all gateways together begin at that rate and not with a set-up each.
+         * that the servers answered to this gateway. It starts at a random level, so that all together begin at that
+         * rate. A gateway that is alone may always send one at a time: no more come than the server answers.
          */
         boolean coldBudgetLeft(double now) {
-            if (!cold(now)) {
-                return true;
+            if (!cold(now) || share.isPresent()) {
+                return !cold(now) || share.get().mayTake(id, now);
             }
             double fill = fill(now);
             double most = Math.max(1, fill * settings.rules().fallMs() * FALL_SHARE);
             tokens = Math.min(most, tokens + (now - tokensAt) * fill);
             tokensAt = now;
-            return tokens >= 1;
+            return tokens >= 1 || settings.balancers() == 1 && unanswered.isEmpty();
         }
 
         private double fill(double now) {
--- a/core/src/test/java/pathlane/BoundariesTest.java
+++ b/core/src/test/java/pathlane/BoundariesTest.java
@@ -38,10 +38,10 @@
     }
 
     @Test
-    void theDecisionsKnowNothingButTheSettings() {
+    void theDecisionsKnowNothingButTheSettingsAndTheColdShare() {
         noClasses().that().resideInAPackage("pathlane.decision").should().dependOnClassesThat(
                 resideInAnyPackage("pathlane..").and(DescribedPredicate.not(
-                        resideInAnyPackage("pathlane.decision", "pathlane.config")))).check(CORE);
+                        resideInAnyPackage("pathlane.decision", "pathlane.config", "pathlane.cold")))).check(CORE);
     }
 
     @Test
--- a/core/src/test/java/pathlane/cold/ColdShareTest.java
+++ b/core/src/test/java/pathlane/cold/ColdShareTest.java
@@ -10,6 +10,7 @@
 import java.util.List;
 import java.util.SplittableRandom;
 import org.junit.jupiter.api.Test;
+import pathlane.config.Settings.ColdSenders;
 import pathlane.config.Settings.Rules;
 
 class ColdShareTest {
@@ -22,7 +23,7 @@
     private static List<ColdShare> shares(int senders) {
         List<ColdShare> shares = new ArrayList<>();
         for (int own = 0; own < senders; own++) {
-            ColdShare share = new ColdShare(RULES, PER_SECOND, senders, own);
+            ColdShare share = new ColdShare(RULES, new ColdSenders(PER_SECOND, senders, own));
             share.started(SERVER, 1000);
             shares.add(share);
         }
@@ -94,8 +95,8 @@
 
     @Test
     void figuresThatMakeNoSenseAreRefused() {
-        assertThrows(IllegalArgumentException.class, () -> new ColdShare(RULES, 0, 1, 0));
-        assertThrows(IllegalArgumentException.class, () -> new ColdShare(RULES, Double.NaN, 1, 0));
-        assertThrows(IllegalArgumentException.class, () -> new ColdShare(RULES, 1, 0, 0));
+        assertThrows(IllegalArgumentException.class, () -> new ColdSenders(0, 1, 0));
+        assertThrows(IllegalArgumentException.class, () -> new ColdSenders(Double.NaN, 1, 0));
+        assertThrows(IllegalArgumentException.class, () -> new ColdSenders(1, 0, 0));
     }
 }
--- a/core/src/test/java/pathlane/decision/Bench.java
+++ b/core/src/test/java/pathlane/decision/Bench.java
@@ -47,7 +47,7 @@
 
     static Settings settings(List<Settings.CallClass> classes, int balancers, int attempts, long repeatMs) {
         return new Settings(classes, rules(), balancers, attempts, ms(5), ms(repeatMs), true, false, -1,
-                ms(500), ms(600_000), Duration.ZERO);
+                ms(500), ms(600_000), Duration.ZERO, java.util.Optional.empty());
     }
 
     /** Two classes, the second worth three times the first; no repeats unless asked for. */
--- a/grpc/src/main/java/pathlane/grpc/Attachment.java
+++ b/grpc/src/main/java/pathlane/grpc/Attachment.java
@@ -21,6 +21,9 @@
     /** Whether the channel has a load balancer that was told its servers. */
     private volatile boolean listed;
 
+    /** gRPC has asked for a hedged stream on this channel. */
+    private volatile boolean hedges;
+
     Attachment(Engine engine) {
         this.engine = engine;
     }
@@ -38,6 +41,14 @@
         listed = now;
     }
 
+    boolean hedges() {
+        return hedges;
+    }
+
+    void seenHedging() {
+        hedges = true;
+    }
+
     void put(ServerPath path) {
         paths.put(path.server, path);
     }
--- a/grpc/src/main/java/pathlane/grpc/Attempt.java
+++ b/grpc/src/main/java/pathlane/grpc/Attempt.java
@@ -37,7 +37,6 @@
     private final Duration patience;
     private final AtomicReference<State> state = new AtomicReference<>(State.OUT);
     private final AtomicInteger streams = new AtomicInteger();
-    private volatile boolean hedged;
     private volatile boolean neverSent;
     private volatile boolean fromServer;
     private volatile ClientCall<Q, R> call;
@@ -71,8 +70,11 @@
         stopDial();
         CallOptions options = owner.options.withOption(KEY, this).withoutWaitForReady()
                 .withStreamTracerFactory(new Tracers());
-        Deadline own = Deadline.after(patience.toNanos(), TimeUnit.NANOSECONDS);
-        options = options.withDeadline(options.getDeadline() == null ? own : options.getDeadline().minimum(own));
+        if (owner.method.getType().serverSendsOneMessage()) {
+            // What the attempt may take is what is left. A stream may last beyond the time in which it must stand.
+            Deadline own = Deadline.after(patience.toNanos(), TimeUnit.NANOSECONDS);
+            options = options.withDeadline(options.getDeadline() == null ? own : options.getDeadline().minimum(own));
+        }
         Context before = owner.context.attach();
         try {
             ClientCall<Q, R> started = owner.next.newCall(owner.method, options);
@@ -117,10 +119,6 @@
         return call != null;
     }
 
-    boolean isHedged() {
-        return hedged;
-    }
-
     /** Whether the channel itself ended it, before it could become a stream: it is shut down, or has no resolver. */
     boolean endedByChannel() {
         return streams.get() == 0 && call != null;
@@ -134,9 +132,6 @@
 
     /** The picker is asked for this attempt's way. Only one stream may leave for it, whoever asks for a second. */
     Status whyNot() {
-        if (hedged) {
-            return HEDGED;
-        }
         if (streams.get() > 1) {
             return Status.UNAVAILABLE.withDescription("pathlane makes the attempts itself");
         }
@@ -158,7 +153,9 @@
 
         @Override
         public ClientStreamTracer newClientStreamTracer(ClientStreamTracer.StreamInfo info, Metadata headers) {
-            hedged |= info.isHedging();
+            if (info.isHedging()) {
+                owner.seenHedging();
+            }
             return streams.incrementAndGet() == 1 ? new Tracer() : new ClientStreamTracer() { };
         }
     }
--- a/grpc/src/main/java/pathlane/grpc/BusNameResolverProvider.java
+++ b/grpc/src/main/java/pathlane/grpc/BusNameResolverProvider.java
@@ -18,9 +18,10 @@
         return true;
     }
 
+    /** Below that of DNS: the first among equals would take every target that names no scheme. */
     @Override
     protected int priority() {
-        return 5;
+        return 1;
     }
 
     @Override
--- a/grpc/src/main/java/pathlane/grpc/Directory.java
+++ b/grpc/src/main/java/pathlane/grpc/Directory.java
@@ -77,6 +77,11 @@
         return new ArrayList<>(lines.values());
     }
 
+    /** Servers in the list that was last told. */
+    int told() {
+        return told.size();
+    }
+
     /** Servers that count as there, calls on whichever server included; for tests of what is kept. */
     int kept() {
         Set<Long> ids = new HashSet<>(told.keySet());
--- a/grpc/src/main/java/pathlane/grpc/Endings.java
+++ b/grpc/src/main/java/pathlane/grpc/Endings.java
@@ -46,10 +46,10 @@
         };
     }
 
-    /** The end of a call that stood: COMPLETED, or RESET for one that was cut. */
+    /** The end of a call that stood: COMPLETED, or RESET for one that was cut; its own deadline cuts no call. */
     static Ending ofStanding(StreamEnd end) {
-        boolean cut = end.code() != Status.Code.OK
-                && (!end.fromServer() || end.code() == Status.Code.UNAVAILABLE);
+        boolean cut = end.code() == Status.Code.UNAVAILABLE || !end.fromServer() && end.code() != Status.Code.OK
+                && end.code() != Status.Code.DEADLINE_EXCEEDED;
         return cut ? Ending.RESET : Ending.COMPLETED;
     }
 
--- a/grpc/src/main/java/pathlane/grpc/Engine.java
+++ b/grpc/src/main/java/pathlane/grpc/Engine.java
@@ -126,6 +126,11 @@
         }
     }
 
+    /** Servers that the controller was last told of, those that drain included. */
+    int listedServers() {
+        return directory.told();
+    }
+
     void attemptBegins(long server) {
         directory.callBegins(server);
     }
--- a/grpc/src/main/java/pathlane/grpc/PathlaneLoadBalancer.java
+++ b/grpc/src/main/java/pathlane/grpc/PathlaneLoadBalancer.java
@@ -32,6 +32,8 @@
     private final Attachment attachment;
     private final Map<List<SocketAddress>, Entry> servers = new HashMap<>();
     private boolean shutdown;
+    /** What keeps the policy from serving at all; null while nothing does. */
+    private Status broken;
 
     private record Entry(Subchannel subchannel, ServerPath path) { }
 
@@ -98,7 +100,10 @@
     private void servers(List<ServerLine> lines) {
         attachment.engine.named(attachment, lines);
         attachment.listed(true);
-        helper.getSynchronizationContext().execute(this::update);   // calls that knocked are heard now
+        helper.getSynchronizationContext().execute(() -> {
+            broken = null;   // what the service config lacked may have come
+            update();        // calls that knocked are heard now
+        });
     }
 
     private void unusableSoon(String why) {
@@ -106,6 +111,7 @@
     }
 
     private Status unusable(Status why) {
+        broken = why;
         helper.updateBalancingState(ConnectivityState.TRANSIENT_FAILURE, new SubchannelPicker() {
             @Override
             public PickResult pickSubchannel(PickSubchannelArgs args) {
@@ -170,7 +176,7 @@
 
     /** A fresh picker, so that what waits is asked for again. */
     private void update() {
-        if (shutdown) {
+        if (shutdown || broken != null) {
             return;
         }
         ConnectivityState state = ConnectivityState.TRANSIENT_FAILURE;
--- a/grpc/src/main/java/pathlane/grpc/PluginCall.java
+++ b/grpc/src/main/java/pathlane/grpc/PluginCall.java
@@ -79,6 +79,8 @@
     private volatile ClientCall<Q, R> direct;
     private volatile ClientCall<Q, R> latest;
     private volatile ClientCall<Q, R> knocking;
+    /** The application has cancelled it. */
+    private volatile boolean left;
 
     // in the turn
     private long number;
@@ -192,6 +194,7 @@
         if (listener == null) {
             return;   // never started: there is nobody to tell
         }
+        left = true;
         ClientCall<Q, R> stream = direct;
         if (stream != null) {
             stream.cancel(message, cause);
@@ -256,6 +259,10 @@
                     new Metadata());
             return;
         }
+        if (attachment.hedges()) {
+            finish(Attempt.HEDGED, new Metadata());
+            return;
+        }
         if (engine.isClosed()) {
             finish(Status.UNAVAILABLE.withDescription("the plug-in is closed"), new Metadata());
             return;
@@ -296,6 +303,11 @@
         return left;
     }
 
+    /** On any thread: gRPC has asked for a second stream beside this one. The picker lets it not leave. */
+    void seenHedging() {
+        attachment.seenHedging();
+    }
+
     private void admit() {
         double now = engine.nowMs();
         RetryGuard guard = engine.retries();
@@ -398,9 +410,6 @@
         }
         if (context.isCancelled()) {
             cancelled(status);
-        } else if (attempt.isHedged()) {
-            leaveController();
-            finish(Attempt.HEDGED, new Metadata());
         } else if (attempt.endedByChannel() || !sayMore) {
             leaveController();
             finish(status, trailers);
@@ -577,7 +586,7 @@
         Status last = cut != null && status.getCode() == Status.Code.CANCELLED ? cut : status;
         engine.execute(() -> {
             Ending how = Endings.ofStanding(end);
-            boolean leftByCaller = status.getCode() == Status.Code.CANCELLED && !end.fromServer() && cut == null;
+            boolean leftByCaller = !end.fromServer() && (left || status.getCode() == Status.Code.DEADLINE_EXCEEDED);
             if (how == Ending.RESET) {
                 lostAt = OptionalDouble.of(engine.nowMs());
             }
--- /dev/null
+++ b/grpc/src/test/java/pathlane/grpc/BusResolverTest.java
@@ -0,0 +1,134 @@
+package pathlane.grpc;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.grpc.CallOptions;
+import io.grpc.ManagedChannel;
+import io.grpc.netty.shaded.io.grpc.netty.NettyChannelBuilder;
+import io.grpc.stub.ClientCalls;
+import java.io.DataInputStream;
+import java.io.DataOutputStream;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.ByteBuffer;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+import pathlane.core.Scheduler;
+
+/** Servers from the event bus, over a socket on loopback. */
+class BusResolverTest {
+
+    /** A bus that tells what the test says, to each connection from the event that it asks for. */
+    private static final class Bus implements AutoCloseable {
+        private final ServerSocket listening = new ServerSocket(0, 10, InetAddress.getLoopbackAddress());
+        private final BlockingQueue<Socket> connections = new LinkedBlockingQueue<>();
+        private final BlockingQueue<Long> asked = new LinkedBlockingQueue<>();
+
+        Bus() throws IOException {
+            Thread thread = new Thread(() -> {
+                try {
+                    while (true) {
+                        Socket socket = listening.accept();
+                        asked.add(new DataInputStream(socket.getInputStream()).readLong());
+                        connections.add(socket);
+                    }
+                } catch (IOException e) {
+                    // closed: the test is over
+                }
+            });
+            thread.setDaemon(true);
+            thread.start();
+        }
+
+        Socket connection() throws InterruptedException {
+            Socket socket = connections.poll(20, TimeUnit.SECONDS);
+            assertTrue(socket != null, "nobody follows the bus");
+            return socket;
+        }
+
+        static void tell(Socket to, long number, int kind, byte[]... records) throws IOException {
+            DataOutputStream out = new DataOutputStream(to.getOutputStream());
+            out.writeInt(9 + 27 * records.length);
+            out.writeLong(number);
+            out.writeByte(kind);
+            for (byte[] record : records) {
+                out.write(record);
+            }
+            out.flush();
+        }
+
+        static byte[] record(int id, int port, int state) {
+            return ByteBuffer.allocate(27).putInt(id).put(new byte[] {127, 0, 0, 1}).putShort((short) port)
+                    .put((byte) state).put((byte) 0).put((byte) 0).putShort((short) id).putInt(1000).putLong(0).array();
+        }
+
+        @Override
+        public void close() throws IOException {
+            listening.close();
+        }
+    }
+
+    private static void call(ManagedChannel channel) {
+        ClientCalls.blockingUnaryCall(channel, pathlane.standin.GrpcFront.CHECK,
+                CallOptions.DEFAULT.withWaitForReady(), new byte[] {1});
+    }
+
+    @Test
+    void drainsAndMovesOfTheBusAreFollowedAndItsEventsAskedForFromTheLast() throws Exception {
+        try (Bus bus = new Bus(); RawServer first = new RawServer(); RawServer second = new RawServer();
+                Pathlane pathlane = Pathlane.builder().configuration(Field.SETTINGS).build()) {
+            ManagedChannel channel = pathlane.attach(NettyChannelBuilder.forTarget("pathlane-bus:///127.0.0.1:"
+                    + bus.listening.getLocalPort()).usePlaintext()).build();
+            try {
+                channel.getState(true);
+                Socket socket = bus.connection();
+                assertEquals(0L, bus.asked.poll());
+                int one = Integer.parseInt(first.target().substring("127.0.0.1:".length()));
+                int two = Integer.parseInt(second.target().substring("127.0.0.1:".length()));
+                Bus.tell(socket, 1, 1, Bus.record(1, one, 0));
+                call(channel);
+                assertEquals(1, first.arrivals.size());
+                Bus.tell(socket, 2, 2, Bus.record(1, one, 1), Bus.record(2, two, 0));
+                awaitList(pathlane, 2);
+                for (int i = 0; i < 5; i++) {
+                    call(channel);
+                }
+                assertEquals(1, first.arrivals.size(), "sent to a server that drains");
+                assertEquals(5, second.arrivals.size());
+                socket.close();
+                bus.connection();
+                assertEquals(2L, bus.asked.poll(20, TimeUnit.SECONDS));
+            } finally {
+                channel.shutdownNow();
+            }
+        }
+    }
+
+    /** Until the controller has been told of so many servers; bounded by the test's own patience. */
+    private static void awaitList(Pathlane pathlane, int servers) throws Exception {
+        Scheduler time = pathlane.engine().time();
+        for (int i = 0; i < 2000; i++) {
+            java.util.concurrent.CompletableFuture<Integer> kept = new java.util.concurrent.CompletableFuture<>();
+            time.after(java.time.Duration.ofMillis(10), () -> kept.complete(pathlane.engine().listedServers()));
+            if (kept.get(20, TimeUnit.SECONDS) >= servers) {
+                return;
+            }
+        }
+        throw new AssertionError("the list was never told");
+    }
+
+    @Test
+    void aTargetThatNamesNoBusIsRefusedWithOneSentence() {
+        Pathlane pathlane = Pathlane.builder().configuration(Field.SETTINGS).build();
+        IllegalArgumentException said = assertThrows(IllegalArgumentException.class, () -> pathlane.attach(
+                NettyChannelBuilder.forTarget("pathlane-bus:///nowhere").usePlaintext()).build());
+        assertTrue(said.getMessage().contains("names no event bus"), said.getMessage());
+        pathlane.close();
+    }
+}
--- a/grpc/src/test/java/pathlane/grpc/Field.java
+++ b/grpc/src/test/java/pathlane/grpc/Field.java
@@ -13,6 +13,7 @@
 import io.grpc.Server;
 import io.grpc.Status;
 import io.grpc.StatusOr;
+import io.grpc.SynchronizationContext;
 import io.grpc.inprocess.InProcessChannelBuilder;
 import io.grpc.inprocess.InProcessServerBuilder;
 import io.grpc.inprocess.InProcessSocketAddress;
@@ -28,6 +29,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.atomic.AtomicInteger;
+import pathlane.core.ServerLine;
 import pathlane.standin.GrpcFront;
 import pathlane.standin.Processor;
 import pathlane.standin.RuleBook;
@@ -83,11 +85,13 @@
     final RuleBook rules = new RuleBook(200);
     final Map<String, Processor> processors = new LinkedHashMap<>();
     final Map<String, GrpcFront> fronts = new LinkedHashMap<>();
+    /** What the list says of a server beside its address, as the bus would tell it. */
+    final Map<String, ServerLine> lines = new LinkedHashMap<>();
     final List<Server> servers = new ArrayList<>();
     final List<ManagedChannel> channels = new ArrayList<>();
     final Pathlane pathlane;
     private final String scheme = "field" + FIELDS.incrementAndGet();
-    private final List<NameResolver.Listener2> listeners = new ArrayList<>();
+    private final Map<NameResolver.Listener2, SynchronizationContext> listeners = new LinkedHashMap<>();
     private List<String> listed = List.of();
     private Map<String, ?> resolvedConfig;
     private final NameResolverProvider provider = new Provider();
@@ -128,12 +132,14 @@
     /** The resolver names these servers from now on. */
     void list(String... names) {
         listed = List.of(names);
-        List.copyOf(listeners).forEach(this::tell);
+        Map.copyOf(listeners).forEach((listener, turn) -> turn.execute(() -> tell(listener)));
     }
 
     private void tell(NameResolver.Listener2 listener) {
         List<EquivalentAddressGroup> groups = new ArrayList<>();
-        listed.forEach(name -> groups.add(new EquivalentAddressGroup(new InProcessSocketAddress(scheme + name))));
+        listed.forEach(name -> groups.add(new EquivalentAddressGroup(new InProcessSocketAddress(scheme + name),
+                lines.containsKey(name) ? Attributes.newBuilder().set(BusNameResolver.LINE, lines.get(name)).build()
+                        : Attributes.EMPTY)));
         listener.onResult2(NameResolver.ResolutionResult.newBuilder().setAddressesOrError(StatusOr.fromValue(groups))
                 .setAttributes(Attributes.EMPTY).build());
     }
@@ -153,6 +159,11 @@
 
     /** Calls with a key by which the rules are watched over all tries. */
     Heard call(ManagedChannel channel, MethodDescriptor<byte[], byte[]> method, CallOptions options, String key) {
+        return call(channel, method, options, key, key);
+    }
+
+    Heard call(ManagedChannel channel, MethodDescriptor<byte[], byte[]> method, CallOptions options, String key,
+               String request) {
         Heard heard = new Heard();
         ClientCall<byte[], byte[]> call = channel.newCall(method, options);
         heard.call = call;
@@ -160,7 +171,7 @@
         headers.put(GrpcFront.CALL, key);
         call.start(heard, headers);
         call.request(2);
-        call.sendMessage(key.getBytes(StandardCharsets.UTF_8));
+        call.sendMessage(request.getBytes(StandardCharsets.UTF_8));
         call.halfClose();
         return heard;
     }
@@ -220,7 +231,7 @@
                 @Override
                 public void start(Listener2 listener) {
                     mine = listener;
-                    listeners.add(listener);
+                    listeners.put(listener, args.getSynchronizationContext());
                     tell(listener);
                 }
 
--- /dev/null
+++ b/grpc/src/test/java/pathlane/grpc/SharedColdTest.java
@@ -0,0 +1,184 @@
+package pathlane.grpc;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.grpc.ManagedChannel;
+import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import pathlane.config.file.NodeConfig;
+import pathlane.core.CallController;
+import pathlane.core.CallerPort;
+import pathlane.core.ConnectionEnd;
+import pathlane.core.ServerLine;
+import pathlane.core.SetUp;
+import pathlane.decision.Gateway.Ending;
+import pathlane.decision.Gateway.Mode;
+import pathlane.grpc.Field.Heard;
+import pathlane.link.Connection;
+import pathlane.link.Dialer;
+import pathlane.link.Protocol;
+import pathlane.platform.PlatformFront;
+import pathlane.standin.PlatformServer;
+import pathlane.standin.Processor;
+
+/** A daemon and a plug-in, each with its own front and its own traffic, send to the same stand-in processors. */
+class SharedColdTest {
+
+    private static final Duration HOLDS = Duration.ofSeconds(8);
+
+    /** The daemon's calls, each answered once. */
+    private static final class Callers implements CallerPort {
+        final Map<String, Integer> finals = new HashMap<>();
+        long issued;
+
+        @Override
+        public void answer(String call, byte[] description) {
+            finals.merge(call, 1, Integer::sum);
+        }
+
+        @Override
+        public void refuse(String call, Duration comeBackAfter) {
+            finals.merge(call, 1, Integer::sum);
+        }
+
+        @Override
+        public void fail(String call) {
+            finals.merge(call, 1, Integer::sum);
+        }
+
+        @Override
+        public void release(String call, Ending how) { }
+    }
+
+    /** Both ends of a connection, in virtual time. */
+    private static final class Wire implements Connection {
+        private final Field field;
+        private Protocol own;
+        private Protocol other;
+        private Wire back;
+        private boolean closed;
+
+        Wire(Field field) {
+            this.field = field;
+        }
+
+        @Override
+        public void write(byte[] bytes) {
+            field.time.after(Duration.ofMillis(1), () -> {
+                if (!closed) {
+                    other.received(ByteBuffer.wrap(bytes));
+                }
+            });
+        }
+
+        @Override
+        public void close(ConnectionEnd why) {
+            field.time.after(Duration.ZERO, () -> {
+                if (!closed) {
+                    closed = true;
+                    back.closed = true;
+                    other.closed(ConnectionEnd.CLOSED_BY_PEER);
+                    own.closed(why);
+                }
+            });
+        }
+
+        @Override
+        public String remote() {
+            return "stand-in";
+        }
+    }
+
+    private static String settings(boolean stated, int number) {
+        String two = Field.SETTINGS.replace("\"balancers\": 1", "\"balancers\": 2");
+        return stated ? two.replaceFirst("\\{", "{\"cold-share\": {\"set-ups-per-second\": 30, \"senders\": 2, "
+                + "\"number\": " + number + "}, ") : two;
+    }
+
+    /**
+     * Two warm servers, then a cold one in the place of one of them, while the load moves from the daemon to the
+     * plug-in and back: what each has learned of its own traffic is wrong each time.
+     */
+    @ParameterizedTest
+    @CsvSource({"true, 20, 20", "false, 20, 20", "true, 6, 60", "false, 6, 60", "true, 60, 6"})
+    void togetherTheyStayUnderWhatAColdProcessorTolerates(boolean stated, int daemonRate, int pluginRate) {
+        try (Field field = new Field(Pathlane.builder().configuration(settings(stated, 1)))) {
+            for (String name : List.of("a", "b")) {
+                field.add(name);
+                field.lines.put(name, line(name, 0));
+            }
+            field.list("a", "b");
+            CallController daemon = daemon(field, settings(stated, 0));
+            daemon.listed(true, List.of(field.lines.get("a"), field.lines.get("b")));
+            ManagedChannel channel = field.channel();
+            Callers callers = new Callers();
+            daemon.callerOpened(callers);
+            List<Heard> heard = new ArrayList<>();
+            play(field, daemon, callers, channel, heard, 6, pluginRate, daemonRate);
+            field.processors.get("b").drain(Duration.ofSeconds(2));
+            field.add("c").startCold();
+            field.lines.put("c", line("c", field.time.nowMs()));
+            field.list("a", "c");
+            daemon.listed(true, List.of(field.lines.get("a"), field.lines.get("c")));
+            play(field, daemon, callers, channel, heard, 14, daemonRate, pluginRate);
+            field.time.pass(15_000);
+
+            Processor cold = field.processors.get("c");
+            assertTrue(!cold.fell() && cold.mostOfBudget() < 1, "used of the budget: " + cold.mostOfBudget());
+            assertTrue(cold.answers() > 50, "answered by the cold one: " + cold.answers());
+            assertTrue(heard.stream().allMatch(one -> one.closes == 1));
+            assertTrue(callers.finals.values().stream().allMatch(count -> count == 1));
+            assertEquals(14 * daemonRate + 6 * pluginRate, callers.finals.size());
+            assertEquals(List.of(), field.rules.broken());
+        }
+    }
+
+    private static void play(Field field, CallController daemon, Callers callers, ManagedChannel channel,
+                             List<Heard> heard, int seconds, int daemonRate, int pluginRate) {
+        int steps = 1000 / 5;
+        for (int step = 0; step < seconds * steps; step++) {
+            int inSecond = step % steps;
+            for (int i = inSecond * daemonRate / steps; i < (inSecond + 1) * daemonRate / steps; i++) {
+                String id = String.format("%016x", ++callers.issued);
+                daemon.setUp(new SetUp(id, 0, "d" + id, Duration.ofMillis(3000), -1, new byte[] {1}), callers);
+            }
+            for (int i = inSecond * pluginRate / steps; i < (inSecond + 1) * pluginRate / steps; i++) {
+                heard.add(field.check(channel, "p" + heard.size()));
+            }
+            field.time.pass(5);
+        }
+    }
+
+    private static ServerLine line(String name, double startedMs) {
+        return new ServerLine(name.charAt(0), new InetSocketAddress("127.0.0.1", 5000 + name.charAt(0)), Mode.RUNNING,
+                name.charAt(0) - 'a', 1, java.time.Instant.ofEpochMilli((long) startedMs));
+    }
+
+    private static CallController daemon(Field field, String settings) {
+        NodeConfig config = NodeConfig.parse("{\"name\": \"d\", \"listen\": \"127.0.0.1:0\", \"seed\": \"3\","
+                + "\"limits\": {\"sockets\": 1024}, \"settings\": " + settings + "}");
+        Dialer dialer = (address, timeout, protocol) -> field.time.after(Duration.ofMillis(1), () -> {
+            String name = String.valueOf((char) (address.getPort() - 5000));
+            PlatformServer server = new PlatformServer(name, field.processors.get(name), field.time, HOLDS, field.rules);
+            Wire up = new Wire(field);
+            Wire down = new Wire(field);
+            up.other = server;
+            up.own = protocol;
+            up.back = down;
+            down.other = protocol;
+            down.own = server;
+            down.back = up;
+            server.opened(down);
+            protocol.opened(up);
+        });
+        return new PlatformFront(config, dialer, field.time, () -> true).controller();
+    }
+}
--- /dev/null
+++ b/grpc/src/test/java/pathlane/grpc/SocketTest.java
@@ -0,0 +1,207 @@
+package pathlane.grpc;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.grpc.CallOptions;
+import io.grpc.ManagedChannel;
+import io.grpc.Server;
+import io.grpc.Status;
+import io.grpc.StatusRuntimeException;
+import io.grpc.netty.shaded.io.grpc.netty.NettyChannelBuilder;
+import io.grpc.netty.shaded.io.grpc.netty.NettyServerBuilder;
+import io.grpc.stub.ClientCalls;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import pathlane.core.Counters.Name;
+import pathlane.grpc.RawServer.Act;
+import pathlane.standin.GrpcFront;
+import pathlane.standin.Processor;
+
+/** Over real sockets on loopback: every way in which HTTP/2 ends a stream, and a GOAWAY amid a burst. */
+class SocketTest {
+
+    private static byte[] call(ManagedChannel channel, CallOptions options) {
+        return ClientCalls.blockingUnaryCall(channel, GrpcFront.CHECK, options, "one".getBytes(StandardCharsets.UTF_8));
+    }
+
+    /** The stream ends in this way, the module tries again, and the second one is answered. */
+    @ParameterizedTest
+    @CsvSource({"REFUSE_STREAM, ATTEMPTS_UNREACHABLE", "GO_AWAY_BEFORE_IT, ATTEMPTS_UNREACHABLE",
+        "RESET_CANCEL, ATTEMPTS_RESET", "RESET_INTERNAL, ATTEMPTS_RESET", "DROP, ATTEMPTS_RESET",
+        "HEADERS_THEN_DROP, ATTEMPTS_RESET", "ENHANCE_CALM, ATTEMPTS_IN_ERROR"})
+    void aStreamThatEndsSoIsCountedSoAndTriedAgainByTheModuleAlone(Act act, Name counted) {
+        try (RawServer server = new RawServer(act);
+                Pathlane pathlane = Pathlane.builder().configuration(Field.SETTINGS).build()) {
+            ManagedChannel channel = pathlane.attach(NettyChannelBuilder.forTarget(server.target()).usePlaintext())
+                    .build();
+            try {
+                byte[] answer = call(channel, CallOptions.DEFAULT);
+                assertEquals("ok", new String(answer, StandardCharsets.UTF_8));
+                assertEquals(1, pathlane.counters().value(counted), pathlane.counters().line());
+                assertEquals(2, pathlane.counters().value(Name.ATTEMPTS), pathlane.counters().line());
+                assertEquals(2, server.arrivals.size());
+                if (counted == Name.ATTEMPTS_RESET) {
+                    long gap = (server.arrivals.get(1) - server.arrivals.get(0)) / 1_000_000;
+                    assertTrue(gap >= 200, "a second attempt " + gap + " ms after a lost one");
+                }
+            } finally {
+                channel.shutdownNow();
+            }
+        }
+    }
+
+    @Test
+    void aCallThatNobodyAnswersHearsSoBeforeItsDeadline() {
+        try (RawServer server = new RawServer(Act.SILENCE, Act.SILENCE, Act.SILENCE);
+                Pathlane pathlane = Pathlane.builder().configuration(Field.SETTINGS).build()) {
+            ManagedChannel channel = pathlane.attach(NettyChannelBuilder.forTarget(server.target()).usePlaintext())
+                    .build();
+            try {
+                call(channel, CallOptions.DEFAULT.withDeadlineAfter(700, TimeUnit.MILLISECONDS));
+            } catch (StatusRuntimeException e) {
+                assertEquals(Status.Code.DEADLINE_EXCEEDED, e.getStatus().getCode(), e.toString());
+                assertEquals(1, server.arrivals.size());
+                return;
+            } finally {
+                channel.shutdownNow();
+            }
+            throw new AssertionError("it was answered");
+        }
+    }
+
+    @Test
+    void nobodyListensAndCallsHearSoInTime() {
+        try (Pathlane pathlane = Pathlane.builder().configuration(Field.SETTINGS).build()) {
+            ManagedChannel channel = pathlane.attach(NettyChannelBuilder.forTarget("127.0.0.1:1").usePlaintext())
+                    .build();
+            try {
+                call(channel, CallOptions.DEFAULT);
+            } catch (StatusRuntimeException e) {
+                assertEquals(Status.Code.UNAVAILABLE, e.getStatus().getCode(), e.toString());
+                assertEquals(pathlane.counters().value(Name.ATTEMPTS),
+                        pathlane.counters().value(Name.ATTEMPTS_UNREACHABLE));
+                return;
+            } finally {
+                channel.shutdownNow();
+            }
+            throw new AssertionError("it was answered");
+        }
+    }
+
+    /** One of two servers goes in an orderly way (two GOAWAYs) while callers come from four threads. */
+    @Test
+    void aGoAwayAmidABurstCostsNoCallItsAnswerAndMakesNoSecondAttempt() throws Exception {
+        ScheduledExecutorService turn = Executors.newSingleThreadScheduledExecutor();
+        ExecutorService callers = Executors.newFixedThreadPool(4);
+        Pathlane pathlane = Pathlane.builder().configuration(Field.SETTINGS).build();
+        pathlane.standin.RuleBook rules = new pathlane.standin.RuleBook(200);
+        LoopTime time = new LoopTime(turn, turn);
+        List<Server> servers = new ArrayList<>();
+        ManagedChannel channel = null;
+        try {
+            for (String name : List.of("a", "b")) {
+                Processor processor = new Processor(Processor.Model.of(2000,
+                        PluginConfig.read(Field.SETTINGS).settings().rules()), time);
+                servers.add(NettyServerBuilder.forAddress(new InetSocketAddress("127.0.0.1", 0))
+                        .addService(new GrpcFront(name, processor, time, turn, Duration.ofSeconds(1), rules).service())
+                        .build().start());
+            }
+            List<io.grpc.EquivalentAddressGroup> groups = new ArrayList<>();
+            servers.forEach(server -> groups.add(new io.grpc.EquivalentAddressGroup(
+                    new InetSocketAddress("127.0.0.1", server.getPort()))));
+            FixedResolver resolver = new FixedResolver(groups);
+            io.grpc.NameResolverRegistry.getDefaultRegistry().register(resolver);
+            channel = pathlane.attach(NettyChannelBuilder.forTarget("fixed:///pool").usePlaintext()).build();
+            ManagedChannel used = channel;
+            CountDownLatch half = new CountDownLatch(200);
+            List<Future<Integer>> stood = new ArrayList<>();
+            for (int caller = 0; caller < 4; caller++) {
+                int own = caller;
+                stood.add(callers.submit(() -> {
+                    int count = 0;
+                    for (int i = 0; i < 100; i++) {
+                        io.grpc.Metadata headers = new io.grpc.Metadata();
+                        headers.put(GrpcFront.CALL, own + "-" + i);
+                        ClientCalls.blockingUnaryCall(io.grpc.ClientInterceptors.intercept(used,
+                                io.grpc.stub.MetadataUtils.newAttachHeadersInterceptor(headers)), GrpcFront.CHECK,
+                                CallOptions.DEFAULT, (own + "-" + i).getBytes(StandardCharsets.UTF_8));
+                        count++;
+                        half.countDown();
+                    }
+                    return count;
+                }));
+            }
+            half.await();
+            servers.get(0).shutdown();
+            for (Future<Integer> one : stood) {
+                assertEquals(100, one.get(60, TimeUnit.SECONDS));
+            }
+            assertEquals(List.of(), turn.submit(rules::broken).get());
+            io.grpc.NameResolverRegistry.getDefaultRegistry().deregister(resolver);
+        } finally {
+            if (channel != null) {
+                channel.shutdownNow();
+            }
+            servers.forEach(Server::shutdownNow);
+            callers.shutdownNow();
+            turn.shutdownNow();
+            pathlane.close();
+        }
+    }
+
+    /** A resolver of fixed addresses. */
+    private static final class FixedResolver extends io.grpc.NameResolverProvider {
+        private final List<io.grpc.EquivalentAddressGroup> groups;
+
+        FixedResolver(List<io.grpc.EquivalentAddressGroup> groups) {
+            this.groups = groups;
+        }
+
+        @Override
+        protected boolean isAvailable() {
+            return true;
+        }
+
+        @Override
+        protected int priority() {
+            return 5;
+        }
+
+        @Override
+        public String getDefaultScheme() {
+            return "fixed";
+        }
+
+        @Override
+        public io.grpc.NameResolver newNameResolver(java.net.URI target, io.grpc.NameResolver.Args args) {
+            return new io.grpc.NameResolver() {
+                @Override
+                public String getServiceAuthority() {
+                    return "fixed";
+                }
+
+                @Override
+                public void start(Listener2 listener) {
+                    listener.onResult2(ResolutionResult.newBuilder()
+                            .setAddressesOrError(io.grpc.StatusOr.fromValue(groups)).build());
+                }
+
+                @Override
+                public void shutdown() { }
+            };
+        }
+    }
+}
