--- /dev/null
+++ b/bench/src/main/java/pathlane/grpc/CallCost.java
@@ -0,0 +1,186 @@
+package pathlane.grpc;
+
+import io.grpc.CallOptions;
+import io.grpc.ManagedChannel;
+import io.grpc.Metadata;
+import io.grpc.Server;
+import io.grpc.ServerCall;
+import io.grpc.ServerServiceDefinition;
+import io.grpc.Status;
+import io.grpc.netty.shaded.io.grpc.netty.NettyChannelBuilder;
+import io.grpc.netty.shaded.io.grpc.netty.NettyServerBuilder;
+import io.grpc.stub.ClientCalls;
+import java.io.BufferedReader;
+import java.io.InputStreamReader;
+import java.lang.management.ManagementFactory;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import org.HdrHistogram.Histogram;
+import pathlane.standin.GrpcFront;
+
+/**
+ * What a call costs its client: time and CPU of unary calls over {@code pick_first}, {@code round_robin} and the
+ * plug-in, in turns within one run. The two servers are a process of their own, so that CPU is the client's.
+ */
+public final class CallCost {
+
+    private static final int ROUNDS = 12;
+    private static final int CALLS = 6000;
+    private static final byte[] REQUEST = new byte[100];
+
+    private CallCost() { }
+
+    /** Prints the table. With {@code serve}: is the servers, until its standard input ends. */
+    public static void main(String[] args) throws Exception {
+        if (args.length == 1 && args[0].equals("serve")) {
+            serve();
+            return;
+        }
+        Process servers = new ProcessBuilder(ProcessHandle.current().info().command().orElse("java"), "-Xmx256m", "-cp",
+                System.getProperty("java.class.path"), CallCost.class.getName(), "serve")
+                .redirectError(ProcessBuilder.Redirect.INHERIT).start();
+        try (BufferedReader out = new BufferedReader(new InputStreamReader(servers.getInputStream()))) {
+            String target = out.readLine();
+            measure(target);
+        } finally {
+            servers.getOutputStream().close();
+            servers.destroy();
+        }
+    }
+
+    private static void serve() throws Exception {
+        List<Server> servers = new ArrayList<>();
+        for (int i = 0; i < 2; i++) {
+            servers.add(NettyServerBuilder.forAddress(new InetSocketAddress("127.0.0.1", 0)).directExecutor()
+                    .addService(ServerServiceDefinition.builder(GrpcFront.SERVICE).addMethod(GrpcFront.CHECK,
+                            (call, headers) -> echo(call)).build()).build().start());
+        }
+        System.out.println(servers.get(0).getPort() + "," + servers.get(1).getPort());
+        while (System.in.read() >= 0) {
+            // until the client is done
+        }
+        servers.forEach(Server::shutdownNow);
+    }
+
+    private static ServerCall.Listener<byte[]> echo(ServerCall<byte[], byte[]> call) {
+        call.request(1);
+        return new ServerCall.Listener<byte[]>() {
+            @Override
+            public void onMessage(byte[] message) {
+                call.sendHeaders(new Metadata());
+                call.sendMessage(message);
+                call.close(Status.OK, new Metadata());
+            }
+        };
+    }
+
+    private static void measure(String ports) {
+        io.grpc.NameResolverRegistry.getDefaultRegistry().register(new Ports());
+        String target = "ports:///" + ports;
+        Pathlane pathlane = Pathlane.builder().configuration(Field.SETTINGS).build();
+        List<String> names = List.of("pick_first", "round_robin", "pathlane");
+        List<ManagedChannel> channels = List.of(
+                NettyChannelBuilder.forTarget(target).usePlaintext().defaultLoadBalancingPolicy("pick_first").build(),
+                NettyChannelBuilder.forTarget(target).usePlaintext().defaultLoadBalancingPolicy("round_robin").build(),
+                pathlane.attach(NettyChannelBuilder.forTarget(target).usePlaintext()).build());
+        double[][] cpu = new double[3][ROUNDS];
+        double[][] p50 = new double[3][ROUNDS];
+        Histogram[] all = new Histogram[3];
+        for (int i = 0; i < 3; i++) {
+            all[i] = new Histogram(3);
+            round(channels.get(i), 3 * CALLS, new Histogram(3));   // warm
+        }
+        for (int round = 0; round < ROUNDS; round++) {
+            for (int turn = 0; turn < 3; turn++) {
+                int i = (turn + round) % 3;   // none is always first
+                Histogram own = new Histogram(3);
+                cpu[i][round] = round(channels.get(i), CALLS, own);
+                p50[i][round] = own.getValueAtPercentile(50) / 1e3;
+                all[i].add(own);
+            }
+        }
+        System.out.println("| policy | p50, us | p99, us | CPU a call, us | CPU against round_robin, median of pairs"
+                + " | p50 against round_robin, us, median of pairs |");
+        System.out.println("| --- | --- | --- | --- | --- | --- |");
+        for (int i = 0; i < 3; i++) {
+            double[] ratio = new double[ROUNDS];
+            double[] added = new double[ROUNDS];
+            for (int round = 0; round < ROUNDS; round++) {
+                ratio[round] = cpu[i][round] / cpu[1][round];
+                added[round] = p50[i][round] - p50[1][round];
+            }
+            System.out.printf("| %s | %.1f | %.1f | %.1f | %.2f | %+.1f |%n", names.get(i),
+                    all[i].getValueAtPercentile(50) / 1e3, all[i].getValueAtPercentile(99) / 1e3,
+                    median(cpu[i]), median(ratio), median(added));
+        }
+        channels.forEach(ManagedChannel::shutdownNow);
+        pathlane.close();
+    }
+
+    private static double median(double[] values) {
+        double[] sorted = values.clone();
+        Arrays.sort(sorted);
+        return (sorted[(sorted.length - 1) / 2] + sorted[sorted.length / 2]) / 2;
+    }
+
+    /** Makes calls one after the other; returns this process's CPU for each, in microseconds. */
+    private static double round(ManagedChannel channel, int calls, Histogram nanos) {
+        com.sun.management.OperatingSystemMXBean system =
+                (com.sun.management.OperatingSystemMXBean) ManagementFactory.getOperatingSystemMXBean();
+        long before = system.getProcessCpuTime();
+        for (int i = 0; i < calls; i++) {
+            long from = System.nanoTime();
+            ClientCalls.blockingUnaryCall(channel, GrpcFront.CHECK, CallOptions.DEFAULT, REQUEST);
+            nanos.recordValue(System.nanoTime() - from);
+        }
+        return (system.getProcessCpuTime() - before) / 1e3 / calls;
+    }
+
+    /** Targets that name ports of this machine. */
+    private static final class Ports extends io.grpc.NameResolverProvider {
+
+        @Override
+        protected boolean isAvailable() {
+            return true;
+        }
+
+        @Override
+        protected int priority() {
+            return 1;
+        }
+
+        @Override
+        public String getDefaultScheme() {
+            return "ports";
+        }
+
+        @Override
+        public io.grpc.NameResolver newNameResolver(java.net.URI target, io.grpc.NameResolver.Args args) {
+            if (!"ports".equals(target.getScheme())) {
+                return null;
+            }
+            List<io.grpc.EquivalentAddressGroup> groups = new ArrayList<>();
+            for (String port : target.getPath().substring(1).split(",")) {
+                groups.add(new io.grpc.EquivalentAddressGroup(
+                        new InetSocketAddress("127.0.0.1", Integer.parseInt(port))));
+            }
+            return new io.grpc.NameResolver() {
+                @Override
+                public String getServiceAuthority() {
+                    return "ports";
+                }
+
+                @Override
+                public void start(Listener2 listener) {
+                    listener.onResult2(ResolutionResult.newBuilder()
+                            .setAddressesOrError(io.grpc.StatusOr.fromValue(groups)).build());
+                }
+
+                @Override
+                public void shutdown() { }
+            };
+        }
+    }
+}
--- a/grpc/src/test/java/pathlane/grpc/PluginTest.java
+++ b/grpc/src/test/java/pathlane/grpc/PluginTest.java
@@ -63,6 +63,55 @@
         }
     }
 
+    /** Talks: what is said before it stands is said again to the next server, what is said later to the one alone. */
+    @Test
+    void aCallThatGoesBothWaysStandsAtItsHeadersAndLosesNoWord() {
+        try (Field field = new Field("a", "b")) {
+            ManagedChannel channel = field.channel();
+            field.processors.get("a").drain(java.time.Duration.ofHours(1));
+            for (int i = 0; i < 6; i++) {
+                Heard heard = field.new Heard();
+                io.grpc.ClientCall<byte[], byte[]> call = channel.newCall(GrpcFront.TALK, CallOptions.DEFAULT);
+                io.grpc.Metadata headers = new io.grpc.Metadata();
+                headers.put(GrpcFront.CALL, "talk" + i);
+                call.start(heard, headers);
+                call.request(10);
+                call.sendMessage(new byte[] {'1'});
+                call.sendMessage(new byte[] {'2'});
+                long stood = field.pathlane.counters().value(Name.STOOD);
+                field.time.pass(90);
+                assertEquals(stood + 1, field.pathlane.counters().value(Name.STOOD), "stands at its headers");
+                assertEquals(List.of(), heard.messages);
+                call.sendMessage(new byte[] {'3'});
+                field.time.pass(200);
+                assertEquals(List.of("1", "2", "3"), heard.messages);
+                call.halfClose();
+                field.time.pass(100);
+                assertEquals(Status.Code.OK, heard.code());
+                field.time.pass(500);
+            }
+            assertTrue(field.processors.get("a").rejects() > 0, "no call was turned away first");
+            assertEquals(List.of(), field.rules.broken());
+        }
+    }
+
+    @Test
+    void aCallThatSaysTooMuchBeforeItStandsIsRefusedAndNotSentInPart() {
+        try (Field field = new Field("a")) {
+            field.processors.get("a").drain(java.time.Duration.ofHours(1));
+            Heard heard = field.new Heard();
+            io.grpc.ClientCall<byte[], byte[]> call = field.channel().newCall(GrpcFront.TALK, CallOptions.DEFAULT);
+            call.start(heard, new io.grpc.Metadata());
+            for (int i = 0; i < 100; i++) {
+                call.sendMessage(new byte[] {1});
+            }
+            field.time.pass(10_000);
+            assertEquals(Status.Code.RESOURCE_EXHAUSTED, heard.code());
+            assertEquals(1, heard.closes);
+            assertEquals(1, field.processors.get("a").setUps());
+        }
+    }
+
     @Test
     void aServersOwnAnswerGoesOnUnchangedAndIsNotTriedElsewhere() {
         try (Field field = new Field("a", "b")) {
--- a/standin/src/main/java/pathlane/standin/GrpcFront.java
+++ b/standin/src/main/java/pathlane/standin/GrpcFront.java
@@ -12,12 +12,15 @@
 import java.io.InputStream;
 import java.io.UncheckedIOException;
 import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.concurrent.Executor;
 import pathlane.core.Scheduler;
 
 /**
- * The session server as a gRPC service with two methods: {@code Check} is a unary call, over with its answer, and
- * {@code Sign} a stream whose first message is the answer and which ends after the time that it holds.
+ * The session server as a gRPC service with three methods: {@code Check} is a unary call, over with its answer;
+ * {@code Sign} a stream whose first message is the answer and which ends after the time that it holds; {@code Talk} goes
+ * both ways: headers are the answer, every message comes back, and it ends with its caller's last word.
  */
 public final class GrpcFront {
 
@@ -27,6 +30,8 @@
     public static final MethodDescriptor<byte[], byte[]> CHECK = method("Check", MethodType.UNARY);
     /** Server streaming: the answer is the request, then nothing, then the end. */
     public static final MethodDescriptor<byte[], byte[]> SIGN = method("Sign", MethodType.SERVER_STREAMING);
+    /** Both ways: headers are the answer to the first message, every message comes back. */
+    public static final MethodDescriptor<byte[], byte[]> TALK = method("Talk", MethodType.BIDI_STREAMING);
     /** What all tries of a call bear, for the rules to be watched; callers of a test set it. */
     public static final Metadata.Key<String> CALL = Metadata.Key.of("call", Metadata.ASCII_STRING_MARSHALLER);
     /** The wait that a server states when it turns a call away. */
@@ -66,6 +71,7 @@
     /** The service, to be added to a gRPC server. */
     public ServerServiceDefinition service() {
         return ServerServiceDefinition.builder(SERVICE).addMethod(CHECK, handler(false)).addMethod(SIGN, handler(true))
+                .addMethod(TALK, handler(true))
                 .build();
     }
 
@@ -84,6 +90,8 @@
         private final boolean stream;
         private String id;
         private byte[] request;
+        private final List<byte[]> words = new ArrayList<>();
+        private boolean stands;
         private boolean over;
 
         Session(ServerCall<byte[], byte[]> call, String key, boolean stream) {
@@ -95,16 +103,48 @@
         @Override
         public void onMessage(byte[] message) {
             request = message;
+            if (talks()) {
+                call.request(1);
+                turn.execute(() -> {
+                    words.add(message);
+                    if (id == null) {
+                        setUp();
+                    }
+                    sayWords();
+                });
+            }
+        }
+
+        private boolean talks() {
+            return call.getMethodDescriptor().getType() == MethodType.BIDI_STREAMING;
+        }
+
+        private void sayWords() {
+            if (stands && !over) {
+                words.forEach(call::sendMessage);
+                words.clear();
+            }
+        }
+
+        private void setUp() {
+            id = name + "-" + ++lastId;
+            if (rules != null && key != null) {
+                rules.sent(key, name, nowMs());
+            }
+            processor.setUp(id, this);
         }
 
         @Override
         public void onHalfClose() {
+            if (!talks()) {
+                turn.execute(this::setUp);
+                return;
+            }
             turn.execute(() -> {
-                id = name + "-" + ++lastId;
-                if (rules != null && key != null) {
-                    rules.sent(key, name, nowMs());
+                if (stands) {
+                    processor.released(id);
+                    close(Status.OK, new Metadata(), false);
                 }
-                processor.setUp(id, this);
             });
         }
 
@@ -146,7 +186,12 @@
                 close(answer, new Metadata(), false);
                 return;
             }
+            stands = true;
             call.sendHeaders(new Metadata());
+            if (talks()) {
+                time.after(Duration.ofMillis(100), this::sayWords);   // headers alone, at first
+                return;
+            }
             call.sendMessage(request);
             if (stream) {
                 time.after(holds, () -> {
