--- a/grpc/src/main/java/pathlane/grpc/PluginCall.java
+++ b/grpc/src/main/java/pathlane/grpc/PluginCall.java
@@ -274,7 +274,7 @@
             return;
         }
         deadline = now.plus(patience);
-        admit();
+        admit(Millis.of(now));
         engine.begin(id, this);
         Duration wait = Millis.span(admission.notBefore() - Millis.of(now));
         if (wait.isNegative() || wait.isZero()) {
@@ -308,8 +308,8 @@
         attachment.seenHedging();
     }
 
-    private void admit() {
-        double now = engine.nowMs();
+    /** At one time for all: a call that is held back by nothing must not wait for a timer. */
+    private void admit(double now) {
         RetryGuard guard = engine.retries();
         // Nothing is remembered in quiet times, and then no request is read for its key.
         admission = guard.remembersNothing(now) ? guard.arrivedFresh(number, now)
