--- a/example/grpc/src/main/java/example/SigningExample.java
+++ b/example/grpc/src/main/java/example/SigningExample.java
@@ -45,9 +45,14 @@
 
         byte[] document = "document 7".getBytes(StandardCharsets.UTF_8);
         for (int i = 0; i < 3; i++) {
-            long from = System.nanoTime();
-            ClientCalls.blockingUnaryCall(channel, GrpcFront.CHECK, CallOptions.DEFAULT, document);
-            System.out.println("checked in " + (System.nanoTime() - from) / 1_000_000 + " ms");
+            try {
+                long from = System.nanoTime();
+                ClientCalls.blockingUnaryCall(channel, GrpcFront.CHECK, CallOptions.DEFAULT, document);
+                System.out.println("checked in " + (System.nanoTime() - from) / 1_000_000 + " ms");
+            } catch (StatusRuntimeException e) {
+                // A refusal is no fault: it tells when to come back.
+                System.out.println(e.getStatus() + ", come back after " + e.getTrailers().get(GrpcFront.PUSHBACK) + " ms");
+            }
         }
         Iterator<byte[]> session = ClientCalls.blockingServerStreamingCall(channel, GrpcFront.SIGN,
                 CallOptions.DEFAULT.withDeadlineAfter(5, TimeUnit.SECONDS), document);
--- a/grpc/src/test/java/pathlane/grpc/SharedColdTest.java
+++ b/grpc/src/test/java/pathlane/grpc/SharedColdTest.java
@@ -11,6 +11,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import pathlane.config.file.NodeConfig;
@@ -108,11 +109,11 @@
      * plug-in and back: what each has learned of its own traffic is wrong each time.
      */
     @ParameterizedTest
-    @CsvSource({"true, 20, 20", "false, 20, 20", "true, 6, 60", "false, 6, 60", "true, 60, 6"})
+    @CsvSource({"true, 60, 60", "false, 60, 60", "true, 20, 120", "false, 20, 120", "true, 120, 20"})
     void togetherTheyStayUnderWhatAColdProcessorTolerates(boolean stated, int daemonRate, int pluginRate) {
         try (Field field = new Field(Pathlane.builder().configuration(settings(stated, 1)))) {
             for (String name : List.of("a", "b")) {
-                field.add(name);
+                field.add(name, 60);
                 field.lines.put(name, line(name, 0));
             }
             field.list("a", "b");
@@ -141,6 +142,53 @@
         }
     }
 
+    /**
+     * A plug-in and forty daemons, each with so little traffic that none can tell from its own what a cold server bears:
+     * only the turns that they take keep the sum down.
+     */
+    @Test
+    void fortyDaemonsAndAPluginTakeTurnsAtAColdProcessor() {
+        int daemons = 40;
+        String shared = Field.SETTINGS.replace("\"balancers\": 1", "\"balancers\": " + (daemons + 1)).replaceFirst("\\{",
+                "{\"cold-share\": {\"set-ups-per-second\": 10, \"senders\": " + (daemons + 1) + ", \"number\": NUMBER}, ");
+        try (Field field = new Field(Pathlane.builder().configuration(shared.replace("NUMBER", "40")))) {
+            field.add("a", 400);
+            field.lines.put("a", line("a", 0));
+            field.list("a");
+            ManagedChannel channel = field.channel();
+            List<CallController> controllers = new ArrayList<>();
+            Callers callers = new Callers();
+            for (int i = 0; i < daemons; i++) {
+                CallController daemon = daemon(field, shared.replace("NUMBER", Integer.toString(i)));
+                daemon.listed(true, List.of(field.lines.get("a")));
+                daemon.callerOpened(callers);
+                controllers.add(daemon);
+            }
+            List<Heard> heard = new ArrayList<>();
+            for (int step = 0; step < 16 * 200; step++) {
+                if (step == 600) {
+                    field.add("c", 10).startCold();
+                    field.lines.put("c", line("c", field.time.nowMs()));
+                    field.list("a", "c");
+                    controllers.forEach(one -> one.listed(false, List.of(field.lines.get("c"))));
+                }
+                String id = String.format("%016x", ++callers.issued);
+                controllers.get(step % daemons).setUp(new SetUp(id, 0, "d" + id, Duration.ofMillis(3000),
+                        step >= 600 ? 2 : -1, new byte[] {1}), callers);
+                if (step % 40 == 0) {
+                    heard.add(field.check(channel, "p" + heard.size()));
+                }
+                field.time.pass(5);
+            }
+            field.time.pass(15_000);
+            Processor cold = field.processors.get("c");
+            assertTrue(!cold.fell() && cold.mostOfBudget() < 1, "used of the budget: " + cold.mostOfBudget());
+            assertTrue(cold.answers() > 20, "answered by the cold one: " + cold.answers());
+            assertTrue(callers.finals.values().stream().allMatch(count -> count == 1));
+            assertEquals(callers.issued, callers.finals.size());
+        }
+    }
+
     private static void play(Field field, CallController daemon, Callers callers, ManagedChannel channel,
                              List<Heard> heard, int seconds, int daemonRate, int pluginRate) {
         int steps = 1000 / 5;
