--- a/bench/src/main/java/pathlane/grpc/CallCost.java
+++ b/bench/src/main/java/pathlane/grpc/CallCost.java
@@ -77,8 +77,12 @@
     }
 
     private static void measure(String ports) {
-        io.grpc.NameResolverRegistry.getDefaultRegistry().register(new Ports());
-        String target = "ports:///" + ports;
+        List<io.grpc.EquivalentAddressGroup> groups = new ArrayList<>();
+        for (String port : ports.split(",")) {
+            groups.add(new io.grpc.EquivalentAddressGroup(new InetSocketAddress("127.0.0.1", Integer.parseInt(port))));
+        }
+        io.grpc.NameResolverRegistry.getDefaultRegistry().register(new FixedResolver("fixed", groups));
+        String target = "fixed:///servers";
         Pathlane pathlane = Pathlane.builder().configuration(Field.SETTINGS).build();
         List<String> names = List.of("pick_first", "round_robin", "pathlane");
         List<ManagedChannel> channels = List.of(
@@ -138,50 +142,4 @@
         }
         return (system.getProcessCpuTime() - before) / 1e3 / calls;
     }
-
-    /** Targets that name ports of this machine. */
-    private static final class Ports extends io.grpc.NameResolverProvider {
-
-        @Override
-        protected boolean isAvailable() {
-            return true;
-        }
-
-        @Override
-        protected int priority() {
-            return 1;
-        }
-
-        @Override
-        public String getDefaultScheme() {
-            return "ports";
-        }
-
-        @Override
-        public io.grpc.NameResolver newNameResolver(java.net.URI target, io.grpc.NameResolver.Args args) {
-            if (!"ports".equals(target.getScheme())) {
-                return null;
-            }
-            List<io.grpc.EquivalentAddressGroup> groups = new ArrayList<>();
-            for (String port : target.getPath().substring(1).split(",")) {
-                groups.add(new io.grpc.EquivalentAddressGroup(
-                        new InetSocketAddress("127.0.0.1", Integer.parseInt(port))));
-            }
-            return new io.grpc.NameResolver() {
-                @Override
-                public String getServiceAuthority() {
-                    return "ports";
-                }
-
-                @Override
-                public void start(Listener2 listener) {
-                    listener.onResult2(ResolutionResult.newBuilder()
-                            .setAddressesOrError(io.grpc.StatusOr.fromValue(groups)).build());
-                }
-
-                @Override
-                public void shutdown() { }
-            };
-        }
-    }
 }
--- a/grpc/src/test/java/pathlane/grpc/SocketTest.java
+++ b/grpc/src/test/java/pathlane/grpc/SocketTest.java
@@ -122,7 +122,7 @@
             List<io.grpc.EquivalentAddressGroup> groups = new ArrayList<>();
             servers.forEach(server -> groups.add(new io.grpc.EquivalentAddressGroup(
                     new InetSocketAddress("127.0.0.1", server.getPort()))));
-            FixedResolver resolver = new FixedResolver(groups);
+            FixedResolver resolver = new FixedResolver("fixed", groups);
             io.grpc.NameResolverRegistry.getDefaultRegistry().register(resolver);
             channel = pathlane.attach(NettyChannelBuilder.forTarget("fixed:///pool").usePlaintext()).build();
             ManagedChannel used = channel;
@@ -161,47 +161,4 @@
             pathlane.close();
         }
     }
-
-    /** A resolver of fixed addresses. */
-    private static final class FixedResolver extends io.grpc.NameResolverProvider {
-        private final List<io.grpc.EquivalentAddressGroup> groups;
-
-        FixedResolver(List<io.grpc.EquivalentAddressGroup> groups) {
-            this.groups = groups;
-        }
-
-        @Override
-        protected boolean isAvailable() {
-            return true;
-        }
-
-        @Override
-        protected int priority() {
-            return 5;
-        }
-
-        @Override
-        public String getDefaultScheme() {
-            return "fixed";
-        }
-
-        @Override
-        public io.grpc.NameResolver newNameResolver(java.net.URI target, io.grpc.NameResolver.Args args) {
-            return new io.grpc.NameResolver() {
-                @Override
-                public String getServiceAuthority() {
-                    return "fixed";
-                }
-
-                @Override
-                public void start(Listener2 listener) {
-                    listener.onResult2(ResolutionResult.newBuilder()
-                            .setAddressesOrError(io.grpc.StatusOr.fromValue(groups)).build());
-                }
-
-                @Override
-                public void shutdown() { }
-            };
-        }
-    }
 }
