--- a/core/src/main/java/pathlane/core/CallController.java
+++ b/core/src/main/java/pathlane/core/CallController.java
@@ -1,5 +1,7 @@
 package pathlane.core;
 
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayDeque;
@@ -35,6 +37,9 @@
     /** Makes the way to a server when the list first names it. */
     public interface ServerPorts extends Function<ServerLine, ServerPort> { }
 
+    /** A line for each step in the life of each call, where a level of FINE is asked for. */
+    private static final Logger TRACE = System.getLogger("calls");
+
     /** Added to the rule's wait after a give-up: the give-up may reach its server later than the resend. */
     private static final Duration CLEAR_MARGIN = Duration.ofMillis(15);
     /** What is over is remembered for so long: what a server or caller still says of it concerns nobody. */
@@ -182,6 +187,7 @@
         Duration left = setUp.patience().minus(scheduler.lag());
         Call call = new Call(setUp, now.plus(left), caller);
         calls.put(setUp.id(), call);
+        trace(setUp.id(), "taken, answer due in {0} ms, lag {1} ms", left, scheduler.lag());
         held(caller).open++;
         // Guards rule one whatever the module does: at the deadline an open call is answered.
         call.guard = scheduler.after(left, () -> answerOverdue(call));
@@ -216,6 +222,8 @@
     private void answerOverdue(Call call) {
         if (calls.get(call.asked.id()) == call && !call.standing) {
             counters.count(Name.GUARD_ANSWERED);
+            trace(call.asked.id(), "overdue by {0} ms, refused by the guard",
+                    Duration.between(call.deadline, scheduler.now()));
             CallerPort caller = call.caller;
             leave(call);
             caller.refuse(call.asked.id(), Duration.ZERO);
@@ -270,6 +278,7 @@
 
     /** The caller no longer waits: no answer is owed, and an attempt that is out is given up. */
     private void leave(Call call) {
+        trace(call.asked.id(), "left by its caller");
         counters.count(Name.GIVEN_UP_BY_CALLER);
         call.guard.cancel();
         remove(call);
@@ -296,6 +305,7 @@
             return;
         }
         counters.count(Name.STOOD);
+        trace(id, "stands at {0} after {1} ms", serverId, Duration.between(call.sentAt, scheduler.now()));
         call.patience.cancel();
         call.guard.cancel();
         call.standing = true;
@@ -466,6 +476,7 @@
     private void report(Call call, Ending how, boolean closed, Duration statedWait) {
         Server server = call.server;
         call.server = null;
+        trace(call.asked.id(), "attempt at {0} ended: {1}", server.line.id(), how);
         if (!call.standing) {
             counters.count(switch (how) {
                 case TIMED_OUT -> Name.ATTEMPTS_TIMED_OUT;
@@ -510,6 +521,15 @@
         }
     }
 
+    private static void trace(String id, String text, Object... values) {
+        if (TRACE.isLoggable(Level.DEBUG)) {
+            Object[] plain = Arrays.stream(values).map(value -> value instanceof Duration span
+                    ? Long.toString(span.toMillis()) : value instanceof Long server ? Long.toHexString(server) : value)
+                    .toArray();
+            TRACE.log(Level.DEBUG, "call " + id + ": " + text, plain);
+        }
+    }
+
     /** How much is kept, of whatever kind: it must not grow with the length of the day. */
     public int kept() {
         return calls.size() + servers.size() + over.size() + callers.size() + unrelayed.size();
@@ -538,6 +558,7 @@
                 return;
             }
             counters.count(Name.ATTEMPTS);
+            trace(id, "sent to {0}", serverId);
             Duration left = Duration.between(now, call.deadline);
             Duration patience = giveUpAfterMs > 0 ? Millis.span(giveUpAfterMs) : left;
             patience = patience.compareTo(left) < 0 ? patience : left;
@@ -569,6 +590,7 @@
             Call call = calls.get(id);
             if (call != null && !call.standing) {
                 counters.count(counted);
+                trace(id, "final answer: {0}", counted);
                 call.guard.cancel();
                 if (call.server != null) {
                     giveUpAttempt(call);
--- a/daemon/src/main/java/pathlane/Main.java
+++ b/daemon/src/main/java/pathlane/Main.java
@@ -7,7 +7,9 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
 import java.util.logging.Handler;
+import java.util.logging.Level;
 import java.util.logging.LogManager;
+import java.util.logging.Logger;
 import pathlane.sim.Wire;
 
 /** Starts the program: {@code serve} is a real call controller on the platform,
@@ -45,7 +47,12 @@
     private static void logPlainly() {
         // Before anything of the log is touched: it looks for its manager once, and SteadyLog is one itself.
         System.setProperty("java.util.logging.manager", SteadyLog.class.getName());
+        // Asked for on the command line, where calls are to be followed through their steps: -Dpathlane.log=FINE.
+        Level level = Level.parse(System.getProperty("pathlane.log", "INFO"));
+        Logger calls = Logger.getLogger("calls");
+        calls.setLevel(level);
         for (Handler handler : LogManager.getLogManager().getLogger("").getHandlers()) {
+            handler.setLevel(level);
             handler.setFormatter(new SteadyLog.Lines());
         }
     }
