After an own stall the bus's news is read before any set-up is decided; early bells count

Ruled out as the stall: garbage collection (20 ms at most), safepoints (17 ms), processors taken away (no gap over 20 ms in 20 s on four cores). What keeps the loop is not found yet.

Now nothing is decided while the loop is 50 ms behind: events of the module wait until all that had come is read, the list is handed over first, and after 50 ms of decisions the connections are looked at again.

--- a/core/src/main/java/pathlane/core/CallController.java
+++ b/core/src/main/java/pathlane/core/CallController.java
@@ -42,6 +42,10 @@
 
     /** Added to the rule's wait after a give-up: the give-up may reach its server later than the resend. */
     private static final Duration CLEAR_MARGIN = Duration.ofMillis(15);
+    /** From so long an own stall on, what the bus has told meanwhile is read before anything is decided. */
+    private static final Duration STALLED = Duration.ofMillis(50);
+    /** Decisions in a row, before the connections are looked at again. */
+    private static final Duration MOST_AT_ONCE = Duration.ofMillis(50);
     /** What is over is remembered for so long: what a server or caller still says of it concerns nobody. */
     private static final Duration OVER_MEMORY = Duration.ofSeconds(60);
 
@@ -60,6 +64,10 @@
     private final Map<String, Unrelayed> unrelayed = new LinkedHashMap<>();
     private final ArrayDeque<Runnable> deferred = new ArrayDeque<>();
     private boolean inModule;
+    /** What waits for the module has its turn once the connections have been looked at. */
+    private boolean putOff;
+    /** The time of the module's last event: a bell may be rung a grain before its time, and counts as on time. */
+    private double moduleTime;
     private static final byte[] NOTHING = {};
 
     /** What a caller's connection has in calls. */
@@ -76,6 +84,8 @@
     private static final class Server {
         final ServerPort port;
         ServerLine line;
+        /** Calls that stand there. */
+        int standing;
 
         Server(ServerLine line, ServerPort port) {
             this.line = line;
@@ -192,7 +202,7 @@
         // Guards rule one whatever the module does: at the deadline an open call is answered.
         call.guard = scheduler.after(left, () -> answerOverdue(call));
         tell(at -> module.arrived(at, new Gateway.Call(setUp.id(), setUp.callClass(), setUp.number(),
-                Millis.of(left), setUp.firstChoice(), false)));
+                Millis.of(Duration.between(scheduler.now(), call.deadline)), setUp.firstChoice(), false)));
         return true;
     }
 
@@ -309,6 +319,7 @@
         call.patience.cancel();
         call.guard.cancel();
         call.standing = true;
+        server.standing++;
         Held held = held(call.caller);
         held.open--;
         held.standing++;
@@ -353,6 +364,9 @@
     }
 
     private void cutAll(Server server) {
+        if (server.standing == 0) {
+            return;
+        }
         List<Call> cut = calls.values().stream().filter(c -> c.standing && c.server == server).toList();
         cut.forEach(call -> finishStanding(call, Ending.RESET));
     }
@@ -360,7 +374,7 @@
     /** Whether calls stand at a server. */
     public boolean standsAt(long serverId) {
         Server server = servers.get(serverId);
-        return server != null && calls.values().stream().anyMatch(c -> c.standing && c.server == server);
+        return server != null && server.standing > 0;
     }
 
     private void finishStanding(Call call, Ending how) {
@@ -407,7 +421,9 @@
                     line.startedAt().equals(Instant.EPOCH) ? 0 : Millis.of(line.startedAt()), line.weight()));
             change(line, consequences);
         }
-        tell(at -> module.listed(at, whole, told));
+        // Ahead of what was put off: that is decided by what the list says now.
+        deferred.addFirst(() -> module.listed(timeOfModule(), whole, told));
+        handOver();
         consequences.forEach(Runnable::run);
     }
 
@@ -454,14 +470,49 @@
 
     /** Hands the module an event; what its actions bring about is handed over after it, never within. */
     private void tell(Consumer<Double> event) {
-        deferred.add(() -> event.accept(Millis.of(scheduler.now())));
-        if (inModule) {
+        deferred.add(() -> event.accept(timeOfModule()));
+        handOver();
+    }
+
+    /**
+     * Guards rule three after an own stall: the callers' set-ups and the news of the bus have waited side by side, and
+     * a set-up that is decided first goes where the news forbids it. So nothing is decided before the loop has read
+     * all that waited.
+     */
+    private void handOver() {
+        if (inModule || putOff) {
             return;
         }
+        if (scheduler.lag().compareTo(STALLED) > 0) {
+            putOff();
+        } else {
+            decide();
+        }
+    }
+
+    private double timeOfModule() {
+        moduleTime = Math.max(moduleTime, Millis.of(scheduler.now()));
+        return moduleTime;
+    }
+
+    private void putOff() {
+        putOff = true;
+        scheduler.after(Duration.ZERO, () -> {
+            putOff = false;
+            decide();
+        });
+    }
+
+    private void decide() {
+        Instant until = scheduler.now().plus(MOST_AT_ONCE);
         inModule = true;
         try {
             for (Runnable next = deferred.poll(); next != null; next = deferred.poll()) {
                 next.run();
+                if (!deferred.isEmpty() && scheduler.now().isAfter(until)) {
+                    putOff();
+                    return;
+                }
             }
         } finally {
             inModule = false;
@@ -509,6 +560,9 @@
         Held held = held(call.caller);
         held.open -= call.standing ? 0 : 1;
         held.standing -= call.standing ? 1 : 0;
+        if (call.standing) {
+            call.server.standing--;
+        }
         Instant now = scheduler.now();
         over.put(call.asked.id(), now);
         forget(over.values().iterator(), at -> at.plus(OVER_MEMORY).isBefore(now), over.size());
@@ -611,7 +665,13 @@
 
         @Override
         public void wakeAfter(double delayMs) {
-            scheduler.after(Millis.span(delayMs), () -> tell(module::woken));
+            // Guards against a timer that is early by the clock's grain: the module would take it for another bell,
+            // and wait for one that never comes.
+            double due = moduleTime + delayMs;
+            scheduler.after(Millis.span(delayMs), () -> tell(at -> {
+                moduleTime = Math.max(at, due);
+                module.woken(moduleTime);
+            }));
         }
 
         @Override
