The loop waits in whole milliseconds, rounded up, and wakes a quarter as often

Checked: the threads' times of the processes that stall. It is the loop's thread, half of it in the system (121 of 282 ticks), with few switches. Ruled out: garbage collection and safepoints (20 ms at most, from the JVM's own log), the compiler's threads, early returns of the selector (its count is logged and never was), a timer of our own that is set again at once, stolen processor time. A probe of the loop's stack shows it within NioIoHandler.select. Lines at fault: EventLoop used NioIoHandler as it is, whose millisBeforeDeadline rounds a wait to the nearest millisecond: half of all waits end up to 0.5 ms early, and then it selects without waiting and turns on the spot.

--- a/daemon/src/main/java/pathlane/net/EventLoop.java
+++ b/daemon/src/main/java/pathlane/net/EventLoop.java
@@ -12,9 +12,10 @@
 /** The one thread on which everything runs, and its sense of time. */
 public final class EventLoop implements Scheduler {
 
-    private static final Duration BEAT = Duration.ofMillis(10);
+    private static final Duration BEAT = Duration.ofMillis(25);
 
-    private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1,
+            WholeMillis.around(NioIoHandler.newFactory()));
     private final io.netty.channel.EventLoop loop = group.next();
     private Instant latest = Instant.EPOCH;
     private long beatAt;
