Servers' connections on demand from one part of the descriptors; none new to what may drain

Now callers and servers have a part each (Descriptors), a quarter of the servers' part is used ahead, the rest on demand, and the idlest connection gives way; one to a server with standing calls last, opened again within 4.5 s. - A server that drains goes on answering on its connection, and the list may come late: by the protocol it counts as told 7 s on. - A release of an unknown call had every server dialled; nothing is dialled for it now. - The bus and servers are dialled again spread over half of the wait, not by a whole fleet at once. - SIGHUP is minded from the first line on (HangUp); limits too small end the program with a sentence. - Lines of a server that has told none are taken to be as with the others; they were 1, so it was hardly ever drawn.

--- /dev/null
+++ b/bench/src/main/java/pathlane/decision/package-info.java
@@ -0,0 +1,2 @@
+/** What decisions cost, by the number of session servers. */
+package pathlane.decision;
--- a/core/src/main/java/pathlane/core/CallController.java
+++ b/core/src/main/java/pathlane/core/CallController.java
@@ -282,7 +282,7 @@
     public void releaseEverywhere(String id) {
         if (!over.containsKey(id) && !calls.containsKey(id)) {
             servers.values().stream().filter(server -> server.line.mode() != Mode.GONE)
-                    .forEach(server -> server.port.release(id, Ending.COMPLETED, NOTHING));
+                    .forEach(server -> server.port.releaseUnknown(id));
         }
     }
 
--- a/core/src/main/java/pathlane/core/ServerPort.java
+++ b/core/src/main/java/pathlane/core/ServerPort.java
@@ -20,6 +20,11 @@
     /** A call that stands there is released; the content is the caller's, empty where there is none. */
     void release(String call, Ending how, byte[] content);
 
+    /** A call that stands at some server, not known which, is released: nothing is opened for it alone. */
+    default void releaseUnknown(String call) {
+        release(call, Ending.COMPLETED, new byte[0]);
+    }
+
     /** Passes on something within a call that stands; false where it can't be sent now. */
     default boolean pass(String call, byte[] content) {
         return false;
--- a/core/src/main/java/pathlane/decision/Logic.java
+++ b/core/src/main/java/pathlane/decision/Logic.java
@@ -86,6 +86,8 @@
     private final Map<String, Dialled> numbers = new LinkedHashMap<>();
     private final List<Setup> held = new ArrayList<>();
     private boolean listSeen;
+    private double linesSum;
+    private int linesTold;
     private double usual;
     private double usualAt;
     private final double[] firstGrace;
@@ -205,11 +207,8 @@
 
     /** Lines of the running servers together: servers differ widely, and the lines of one tell its part. */
     private double lines() {
-        double sum = 0;
-        for (Server server : servers.values()) {
-            sum += server.mode == Mode.RUNNING ? server.lines : 0;
-        }
-        return Math.max(1, sum);
+        return Math.max(1, servers.values().stream().filter(server -> server.mode == Mode.RUNNING)
+                .mapToDouble(Server::ownLines).sum());
     }
 
     /** A number lately dialled in vain: since when, and the gap of its calls while its lines are engaged. */
@@ -376,12 +375,10 @@
             wakeAt = Double.NaN;
             if (late > shortest * SLACK_SHARE) {
                 stalledAt = now;
-                for (Server server : servers.values()) {
-                    for (Setup call : server.unanswered.values()) {
-                        call.deadline += late;
-                        call.countedFrom += late;
-                    }
-                }
+                servers.values().forEach(server -> server.unanswered.values().forEach(call -> {
+                    call.deadline += late;
+                    call.countedFrom += late;
+                }));
             }
         }
     }
@@ -448,13 +445,9 @@
 
     /** The time to come back: the soonest at which what bars the call now may have passed, at any server. */
     private double comeBackAfter(double now, Setup call) {
-        double soonest = settings.mostRetryAfterMs();
-        for (Server server : servers.values()) {
-            if (server.mode == Mode.RUNNING && call.mayGoTo(server)) {
-                soonest = Math.min(soonest, server.barredFor(now, call.kind()));
-            }
-        }
-        return soonest;
+        return servers.values().stream().filter(server -> server.mode == Mode.RUNNING && call.mayGoTo(server))
+                .mapToDouble(server -> server.barredFor(now, call.kind()))
+                .reduce(settings.mostRetryAfterMs(), Math::min);
     }
 
     private void callOff(Setup call) {
@@ -638,7 +631,7 @@
         double ownDelay;
         double lastDelay;
         double ownDelayAt = Double.NEGATIVE_INFINITY;
-        double lines = 1;
+        double lines;
         double freeLines;
         double firstLines;
         int standing;
@@ -908,7 +901,7 @@
 
         /** How far apart own set-ups to the server would be if they spread as the lines do. */
         private double evenGap(double now) {
-            return lines() / lines / Math.max(arrivals.at(now), 1 / memory);
+            return lines() / ownLines() / Math.max(arrivals.at(now), 1 / memory);
         }
 
         /**
@@ -947,7 +940,10 @@
         }
 
         void report(double now, Report report) {
-            lines = report.lines() > 0 ? report.lines() : lines;
+            double told = report.lines() > 0 ? report.lines() : lines;
+            linesTold += lines == 0 && told > 0 ? 1 : 0;
+            linesSum += told - lines;
+            lines = told;
             if (report.freeLines() >= 0) {
                 told(now, report.freeLines());
             }
@@ -957,6 +953,11 @@
             }
         }
 
+        /** What a server has not told is taken to be as with the others: it was not talked to yet. */
+        double ownLines() {
+            return lines > 0 ? lines : linesTold > 0 ? linesSum / linesTold : 1;
+        }
+
         /** Guards against all gateways rushing for the same few lines: each takes its share. */
         private void told(double now, double free) {
             double share = free / settings.balancers();
@@ -995,7 +996,7 @@
 
         double weight(double now) {
             double slow = Math.max(delay(now), SLACK_SHARE * shortest);
-            return lines * size / (slow * slow);
+            return ownLines() * size / (slow * slow);
         }
 
         // -- cold start
@@ -1024,7 +1025,7 @@
         private double fill(double now) {
             Rules rules = settings.rules();
             double warmth = rules.coldFrom() + (1 - rules.coldFrom()) * (now - coldSince) / rules.coldMs();
-            return usual * lines * Math.min(1, warmth) * rules.fallMultiple() * FALL_SHARE;
+            return usual * ownLines() * Math.min(1, warmth) * rules.fallMultiple() * FALL_SHARE;
         }
     }
 }
--- a/core/src/main/java/pathlane/link/Admission.java
+++ b/core/src/main/java/pathlane/link/Admission.java
@@ -3,24 +3,29 @@
 import java.time.Instant;
 import java.util.LinkedHashMap;
 import java.util.Map;
+import java.util.function.Consumer;
 import pathlane.core.ConnectionEnd;
 
 /**
- * The connections that callers hold, up to a most. Guards the descriptors that session servers and the event bus need
- * against callers that keep what they don't use: when there are no more, the connection that has been idle the longest
- * gives way to the new one.
+ * The connections of one kind, callers' or those to session servers, up to a most: the descriptors are shared out, and
+ * neither kind can take the other's. When there are no more, the connection that has been idle the longest gives way
+ * to the new one.
  */
 public final class Admission {
 
     private final int most;
-    private final Map<Protocol, Connection> held = new LinkedHashMap<>();
+    private final Map<Protocol, Consumer<ConnectionEnd>> held = new LinkedHashMap<>();
 
     public Admission(int most) {
         this.most = most;
     }
 
-    /** Whether one more connection may come up; nobody gives way whose calls are open. */
-    public boolean admit(Protocol protocol, Connection connection) {
+    /**
+     * Whether one more connection may come up; nobody gives way whose calls are open.
+     *
+     * @param close closes this one, should it have to give way
+     */
+    public boolean admit(Protocol protocol, Consumer<ConnectionEnd> close) {
         if (held.size() >= most) {
             Protocol idlest = null;
             for (Protocol one : held.keySet()) {
@@ -32,9 +37,9 @@
             if (idlest == null) {
                 return false;
             }
-            held.remove(idlest).close(ConnectionEnd.GAVE_WAY);
+            held.remove(idlest).accept(ConnectionEnd.GAVE_WAY);
         }
-        held.put(protocol, connection);
+        held.put(protocol, close);
         return true;
     }
 
@@ -43,6 +48,11 @@
         held.remove(protocol);
     }
 
+    /** Whether less than one of so many parts is held. */
+    public boolean isUnder(int part) {
+        return held.size() < most / part;
+    }
+
     public int size() {
         return held.size();
     }
--- a/daemon/src/main/java/pathlane/Main.java
+++ b/daemon/src/main/java/pathlane/Main.java
@@ -27,10 +27,10 @@
         String what = String.join(" ", args);
         try {
             switch (args.length == 2 ? args[0] + " FILE" : what) {
-                case "serve" -> serve();
+                case "serve" -> serve(HangUp.minded());
                 case "diameter FILE" -> {
                     logPlainly();
-                    Node.startDiameter(Path.of(args[1]));
+                    Node.startDiameter(Path.of(args[1]), HangUp.minded());
                 }
                 case "simhost" -> simulate();
                 default -> {
@@ -57,13 +57,13 @@
         }
     }
 
-    private static void serve() {
+    private static void serve(HangUp hangUp) {
         logPlainly();
         String file = System.getenv("RELAY_CONFIG");
         if (file == null) {
             throw new IllegalArgumentException("RELAY_CONFIG does not name a configuration");
         }
-        Node.startPlatform(Path.of(file));
+        Node.startPlatform(Path.of(file), hangUp);
     }
 
     private static void simulate() throws IOException {
--- a/daemon/src/main/java/pathlane/Node.java
+++ b/daemon/src/main/java/pathlane/Node.java
@@ -22,7 +22,6 @@
 import pathlane.net.EventLoop;
 import pathlane.net.Network;
 import pathlane.platform.PlatformFront;
-import sun.misc.Signal;
 
 /** One real call controller: puts the parts together and sees to an orderly end. */
 final class Node {
@@ -44,10 +43,10 @@
     private volatile boolean ending;
 
     /** Starts a call controller on the platform; it serves until the process is asked to end. */
-    static void startPlatform(Path file) {
+    static void startPlatform(Path file, HangUp hangUp) {
         NodeConfig config = NodeConfig.read(file);
         Node node = new Node();
-        node.serve(config.name(), config.listen(), () -> {
+        node.serve(config.name(), config.listen(), hangUp, () -> {
             PlatformFront platform = new PlatformFront(config, node.network, node.loop, () -> !node.ending);
             return new Front(platform.controller(), platform::accept, config.callers(), () -> { },
                     () -> platform.reload(NodeConfig.read(file)));
@@ -55,11 +54,11 @@
     }
 
     /** Starts a call controller for Diameter peers; it serves until the process is asked to end. */
-    static void startDiameter(Path file) {
+    static void startDiameter(Path file, HangUp hangUp) {
         DiameterConfig config = DiameterConfig.read(file);
         Node node = new Node();
         SplittableRandom random = new SplittableRandom();
-        node.serve(config.host(), config.listen(), () -> {
+        node.serve(config.host(), config.listen(), hangUp, () -> {
             DiameterFront diameter = new DiameterFront(config, random.nextLong(), node.network, node.loop, random);
             if (config.graphite() != null) {
                 new GraphiteReporter(config.graphite(), diameter.controller().counters(), node.network, node.loop)
@@ -76,9 +75,7 @@
         });
     }
 
-    private void serve(String name, InetSocketAddress listen, Supplier<Front> build) {
-        // Guards against the end that a JVM comes to at SIGHUP unless somebody minds it.
-        Signal.handle(new Signal("HUP"), signal -> loop.execute(this::reload));
+    private void serve(String name, InetSocketAddress listen, HangUp hangUp, Supplier<Front> build) {
         CompletableFuture<Front> built = new CompletableFuture<>();
         loop.execute(() -> {
             try {
@@ -99,14 +96,12 @@
             throw new IllegalArgumentException(e.getMessage(), e);
         }
         Runtime.getRuntime().addShutdownHook(new Thread(this::end, "end"));
+        hangUp.does(() -> loop.execute(this::reload));
         LOG.log(Level.INFO, "call controller {0} serves on {1}", name, bound);
     }
 
     /** Reads the configuration again; one that can't be used changes nothing. */
     private void reload() {
-        if (front == null) {
-            return;   // it could not be built; the program ends
-        }
         try {
             front.reload().run();
             LOG.log(Level.INFO, "configuration read again");
--- a/daemon/src/main/java/pathlane/config/file/CallerLimits.java
+++ b/daemon/src/main/java/pathlane/config/file/CallerLimits.java
@@ -21,19 +21,9 @@
                            Duration messageEvery, int unwritten, int faults, int unknownReleases,
                            Duration unknownReleaseEvery) {
 
-    /** Where a configuration does not say how many descriptors the program may hold. */
-    static final int USUAL_DESCRIPTORS = 1024;
-    /** Kept for the program itself, session servers with a connection that is just closing, and the event bus. */
-    private static final int RESERVED = 64;
-    /** Callers get this part of the descriptors even where that leaves less than the reserve. */
-    private static final int LEAST_PART = 4;
-
-    /** The limits of a program that may hold so many descriptors. */
-    static CallerLimits within(int descriptors) {
-        if (descriptors < LEAST_PART) {
-            throw new IllegalArgumentException("limits.sockets is too small: " + descriptors);
-        }
-        return new CallerLimits(Math.max(descriptors - RESERVED, descriptors / LEAST_PART), Duration.ofMillis(1500),
-                Duration.ofSeconds(2), Duration.ofSeconds(6), 5000, Duration.ofNanos(200_000), 128 * 1024, 8, 100, Duration.ofMillis(20));
+    /** The limits of callers that may hold so many connections. */
+    static CallerLimits of(int connections) {
+        return new CallerLimits(connections, Duration.ofMillis(1500), Duration.ofSeconds(2), Duration.ofSeconds(6), 5000,
+                Duration.ofNanos(200_000), 128 * 1024, 8, 100, Duration.ofMillis(20));
     }
 }
--- a/daemon/src/main/java/pathlane/config/file/DiameterConfig.java
+++ b/daemon/src/main/java/pathlane/config/file/DiameterConfig.java
@@ -80,7 +80,7 @@
         }
         DiameterConfig config = new DiameterConfig(NodeConfig.text(root, "host"), NodeConfig.text(root, "realm"),
                 NodeConfig.address(NodeConfig.text(root, "listen")), watchdog, List.copyOf(peers),
-                List.copyOf(classes), settings, NodeConfig.callers(root), GraphiteConfig.read(root),
+                List.copyOf(classes), settings, CallerLimits.of(NodeConfig.descriptors(root).callers()), GraphiteConfig.read(root),
                 CollectdConfig.read(root));
         config.classOf(-1);
         return config;
--- a/daemon/src/main/java/pathlane/config/file/NodeConfig.java
+++ b/daemon/src/main/java/pathlane/config/file/NodeConfig.java
@@ -16,14 +16,17 @@
  *
  * @param seed for random numbers; new with each start
  * @param bus the event bus, or null where there is none
- * @param callers what callers may take up, from the descriptors in {@code limits}
+ * @param descriptors how the descriptors in {@code limits} are shared out
+ * @param callers what callers may take up
  * @param knownOffset the number of the last event in {@code knownEvents}
  */
 public record NodeConfig(String name, InetSocketAddress listen, long seed, InetSocketAddress bus,
-                         CallerLimits callers, long knownOffset, JsonArray knownEvents, Settings settings) {
+                         Descriptors descriptors, CallerLimits callers, long knownOffset, JsonArray knownEvents, Settings settings) {
 
     private static final int HEX = 16;
     private static final int MOST_PORT = 65_535;
+    /** A process that has just begun to serve takes up some 40. */
+    private static final int LEAST_MEMORY_MB = 64;
 
     /**
      * Reads the file.
@@ -53,18 +56,23 @@
     public static NodeConfig parse(String text) {
         JsonObject root = JsonParser.parseString(text).getAsJsonObject();
         JsonObject known = SettingsReader.object(root, "known");
+        Descriptors descriptors = descriptors(root);
         return new NodeConfig(text(root, "name"), address(text(root, "listen")),
                 Long.parseUnsignedLong(text(root, "seed"), HEX),
-                root.has("bus") ? address(text(root, "bus")) : null, callers(root),
+                root.has("bus") ? address(text(root, "bus")) : null, descriptors,
+                CallerLimits.of(descriptors.callers()),
                 known.has("offset") ? known.get("offset").getAsLong() : 0, SettingsReader.array(known, "batch"),
                 SettingsReader.read(SettingsReader.object(root, "settings")));
     }
 
-    /** The limits of callers, from the object {@code limits} where there is one. */
-    static CallerLimits callers(JsonObject root) {
+    /** The parts of the descriptors, from the object {@code limits} where there is one. */
+    static Descriptors descriptors(JsonObject root) {
         JsonObject limits = SettingsReader.object(root, "limits");
-        return CallerLimits.within(limits.has("sockets") ? limits.get("sockets").getAsInt()
-                : CallerLimits.USUAL_DESCRIPTORS);
+        if (limits.has("memory_mb") && limits.get("memory_mb").getAsDouble() < LEAST_MEMORY_MB) {
+            throw new IllegalArgumentException("limits.memory_mb is too small to serve with: "
+                    + limits.get("memory_mb").getAsString() + ", at least " + LEAST_MEMORY_MB + " are needed");
+        }
+        return limits.has("sockets") ? Descriptors.within(limits.get("sockets").getAsInt()) : Descriptors.usual();
     }
 
     static String text(JsonObject from, String key) {
--- a/daemon/src/main/java/pathlane/net/Driver.java
+++ b/daemon/src/main/java/pathlane/net/Driver.java
@@ -6,6 +6,7 @@
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelOutboundBuffer;
 import java.io.IOException;
 import java.io.PrintWriter;
 import java.io.StringWriter;
@@ -19,7 +20,6 @@
 /** Reads and writes for one connection's state machine; knows no protocol. */
 final class Driver extends ChannelInboundHandlerAdapter implements Connection {
 
-
     /** What was written before a close may take so long to leave; then it is dropped. */
     private static final Duration LAST_WORDS = Duration.ofMillis(500);
 
@@ -30,6 +30,8 @@
     private Channel channel;
     private ConnectionEnd end;
     private boolean flushDue;
+    /** Whether something was left to be written by the last flush. */
+    private boolean stuck;
 
     Driver(Protocol protocol, long mostUnwritten, LimitedLog log) {
         this.mostUnwritten = mostUnwritten;
@@ -85,15 +87,26 @@
             channel.eventLoop().execute(() -> {
                 flushDue = false;
                 channel.flush();
+                stuck = unwritten() > 0;
             });
         }
-        if (channel.unsafe().outboundBuffer() != null
-                && channel.unsafe().outboundBuffer().totalPendingWriteBytes() > mostUnwritten) {
+        if (unwritten() > mostUnwritten) {
             end = ConnectionEnd.OVERFLOW;
             channel.close();
         }
     }
 
+    private long unwritten() {
+        ChannelOutboundBuffer waiting = channel.unsafe().outboundBuffer();
+        return waiting == null ? 0 : waiting.totalPendingWriteBytes();
+    }
+
+    @Override
+    public boolean isStuck() {
+        stuck = stuck && unwritten() > 0;
+        return stuck;
+    }
+
     @Override
     public void close(ConnectionEnd why) {
         if (end == null) {
--- a/daemon/src/main/java/pathlane/net/Network.java
+++ b/daemon/src/main/java/pathlane/net/Network.java
@@ -36,8 +36,8 @@
     private static final int LONGEST_READ = 16 * 1024;
     /** Reads from one caller before the others have their turn. */
     private static final int MOST_READS = 2;
-    /** What may wait to be written to a server or a bus. */
-    private static final long MOST_UNWRITTEN = 1 << 20;
+    /** What may wait to be written to a server or a bus: four of the longest messages, at hundreds of servers at once. */
+    private static final long MOST_UNWRITTEN = 64 * 1024;
     private final EventLoop loop;
     private final LimitedLog limitedLog;
     /** The one socket that datagrams leave by, once there are any. */
@@ -67,7 +67,7 @@
                     protected void initChannel(SocketChannel channel) {
                         Protocol protocol = protocols.get();
                         Driver driver = new Driver(protocol, limits.unwritten(), limitedLog);
-                        if (!admission.admit(protocol, driver)) {
+                        if (!admission.admit(protocol, driver::close)) {
                             limitedLog.warn("connection from {0} turned away: {1} are open, all with calls",
                                     channel.remoteAddress(), Integer.toString(admission.size()));
                             channel.close();
--- a/daemon/src/main/java/pathlane/platform/PlatformFront.java
+++ b/daemon/src/main/java/pathlane/platform/PlatformFront.java
@@ -1,5 +1,6 @@
 package pathlane.platform;
 
+import java.util.SplittableRandom;
 import java.util.function.BooleanSupplier;
 import pathlane.bus.BusFeed;
 import pathlane.config.file.CallerLimits;
@@ -7,6 +8,7 @@
 import pathlane.config.file.ServerLimits;
 import pathlane.core.CallController;
 import pathlane.core.Scheduler;
+import pathlane.link.Admission;
 import pathlane.link.Dialer;
 import pathlane.link.LimitedLog;
 import pathlane.link.Protocol;
@@ -27,10 +29,13 @@
         this.limits = config.callers();
         this.scheduler = scheduler;
         this.callerLog = new LimitedLog("callers", scheduler);
+        SplittableRandom random = new SplittableRandom(config.seed());
+        Admission servers = new Admission(config.descriptors().servers());
         controller = new CallController(config.settings(), config.seed(), scheduler,
-                line -> new ServerLink(line, config.settings(), ServerLimits.USUAL, this::controller, dialer, scheduler));
+                line -> new ServerLink(line, config.settings(), ServerLimits.USUAL, this::controller, dialer, scheduler,
+                        servers, random));
         KnownEvents.read(config).forEach(event -> controller.listed(event.whole(), event.lines()));
-        feed = new BusFeed(config.knownOffset(), dialer, scheduler,
+        feed = new BusFeed(config.knownOffset(), dialer, scheduler, random.split(),
                 event -> controller.listed(event.whole(), event.lines()));
         if (config.bus() != null) {
             feed.follow(config.bus());
--- a/daemon/src/main/java/pathlane/platform/ServerLink.java
+++ b/daemon/src/main/java/pathlane/platform/ServerLink.java
@@ -10,6 +10,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.SplittableRandom;
 import java.util.function.Supplier;
 import pathlane.bus.ServerList;
 import pathlane.config.Settings;
@@ -21,6 +22,7 @@
 import pathlane.core.ServerPort;
 import pathlane.core.SetUp;
 import pathlane.decision.Gateway.Ending;
+import pathlane.link.Admission;
 import pathlane.link.Connection;
 import pathlane.link.Dialer;
 import pathlane.link.FrameDeadline;
@@ -31,17 +33,25 @@
 import pathlane.wire.Message;
 
 /**
- * The way to one session server: a few connections that all calls share, the first dialled when the server is first
- * listed, the others when those that are up are busy. One that breaks, is spoilt or says nothing more costs only the
+ * The way to one session server: a few connections that all calls share. All servers' connections share one number of
+ * descriptors, so the first is dialled when the server is first listed only while there are many left, and else on
+ * demand; the others when those that are up are busy. One that breaks, is spoilt or says nothing more costs only the
  * set-ups that are out on it.
  */
 public final class ServerLink implements ServerPort {
 
     private static final Logger LOG = System.getLogger("servers");
+    private static final byte[] NOTHING = {};
     /** An idle connection is closed here at this part of the time after which the other side closes it. */
     private static final int IDLE_PERCENT = 90;
     private static final Duration REDIAL_FIRST = Duration.ofMillis(100);
     private static final Duration REDIAL_MOST = Duration.ofSeconds(1);
+    /** Longer than any connection without calls that stand is idle. */
+    private static final Duration GIVES_WAY_LAST = Duration.ofDays(1);
+    /** Dialled at listing only while less than this part of the descriptors for servers is held. */
+    private static final int AHEAD_PART = 4;
+    /** A connection that gave way is opened again after this, or up to half as much more: ends may wait there. */
+    private static final Duration REJOIN = Duration.ofSeconds(3);
     /** Dials in vain after which a silent server's calls count as cut: they can't be released any more. */
     private static final int VAIN_DIALS = 2;
 
@@ -52,6 +62,8 @@
     private final Supplier<CallController> controller;
     private final Dialer dialer;
     private final Scheduler scheduler;
+    private final Admission connections;
+    private final SplittableRandom random;
     /** Set-ups and releases that wait for a connection. */
     private final Map<String, byte[]> waitingSetUps = new LinkedHashMap<>();
     private final Map<String, byte[]> waitingReleases = new LinkedHashMap<>();
@@ -73,10 +85,18 @@
     private boolean draining;
     /** Whether the server ended the last connection that was up, as it does when its process stops or dies. */
     private boolean leftByServer;
-
-    /** The controller is asked for late: it makes its ports itself. */
+    /** When the server last showed that it takes new set-ups: it told its lines, or took a connection. */
+    private Instant takingAt = Instant.MIN;
+    private boolean everToldLines;
+
+    /**
+     * The controller is asked for late: it makes its ports itself.
+     *
+     * @param connections the connections to all servers
+     * @param random spreads what would come from a whole fleet at once
+     */
     public ServerLink(ServerLine server, Settings settings, ServerLimits limits, Supplier<CallController> controller,
-                      Dialer dialer, Scheduler scheduler) {
+                      Dialer dialer, Scheduler scheduler, Admission connections, SplittableRandom random) {
         this.server = server;
         this.name = ServerList.serverName(server.id());
         this.idleAfter = settings.idleClose().multipliedBy(IDLE_PERCENT).dividedBy(100);
@@ -85,7 +105,11 @@
         this.controller = controller;
         this.dialer = dialer;
         this.scheduler = scheduler;
-        dialOne();
+        this.connections = connections;
+        this.random = random;
+        if (connections.isUnder(AHEAD_PART)) {
+            dialOne();
+        }
     }
 
     /** Dials where nothing is up or dialled; a connection that is being closed is neither. */
@@ -97,8 +121,13 @@
 
     private void dialOne() {
         Session session = new Session();
-        sessions.add(session);
-        dialer.dial(server.address(), settings.dialTimeout(), session);
+        if (connections.admit(session, session::giveWay)) {
+            sessions.add(session);
+            dialer.dial(server.address(), settings.dialTimeout(), session);
+        } else {
+            // Each descriptor is in use by a set-up that is out: what waits here is free to go elsewhere.
+            scheduler.after(Duration.ZERO, this::endWaiting);
+        }
     }
 
     /** The connection for what comes next: the one with the fewest set-ups out, or null while none is up. */
@@ -112,6 +141,26 @@
         return best;
     }
 
+    /** The connection for a set-up: one on which all that was written has left, if it isn't to leave after a drain. */
+    private Session bestForSetUp() {
+        Session best = null;
+        for (Session one : sessions) {
+            if (one.isUp() && !one.connection.isStuck() && (best == null || one.sent.size() < best.sent.size())) {
+                best = one;
+            }
+        }
+        return best;
+    }
+
+    /**
+     * Guards rule three against a list that comes too late or not at all: a server that drains goes on answering and
+     * ending its calls, but it tells no lines and takes no connection any more. One that has not told its lines for
+     * long has to take a connection before it is sent anything new.
+     */
+    private boolean mayDrain() {
+        return everToldLines && takingAt.plus(limits.untold()).isBefore(scheduler.now());
+    }
+
     @Override
     public void setUp(SetUp setUp, Duration patience, boolean mayHaveRun) {
         draining = false;   // nothing new comes here while it drains
@@ -120,13 +169,13 @@
                 .with(Message.PATIENCE, Long.toString(Math.max(1, patience.toMillis())))
                 .with(Message.NUMBER, setUp.number())
                 .with(Message.DESCRIPTION, setUp.description()).bytes();
-        Session best = best();
+        Session best = mayDrain() ? null : bestForSetUp();
         if (best == null) {
             waitingSetUps.put(setUp.id(), bytes);
-            dial();
+            dialForWaiting();
             return;
         }
-        if (!best.sent.isEmpty() && sessions.size() < limits.connections()
+        if (!best.sent.isEmpty() && sessions.size() < limits.connections() && connections.isUnder(2)
                 && !scheduler.now().isBefore(noMoreBefore)) {
             noMoreBefore = scheduler.now().plus(REDIAL_FIRST);
             dialOne();   // all that are up are busy: the next set-up finds one more
@@ -134,6 +183,20 @@
         best.setUp(setUp.id(), bytes);
     }
 
+    /** Set-ups wait for a connection that is being dialled; where none may be, they are free to go elsewhere. */
+    private void dialForWaiting() {
+        if (sessions.stream().anyMatch(session -> session.connection == null)) {
+            return;
+        }
+        if (best() == null) {
+            dial();
+        } else if (sessions.size() < limits.connections() && !scheduler.now().isBefore(noMoreBefore)) {
+            dialOne();
+        } else {
+            scheduler.after(Duration.ZERO, this::endWaiting);
+        }
+    }
+
     @Override
     public void giveUp(String call) {
         if (waitingSetUps.remove(call) != null) {
@@ -163,10 +226,26 @@
         }
     }
 
+    /**
+     * Guards hundreds of servers against a connection from each controller for each call that one of them set up before
+     * its restart: where none is up the release waits for the next, and there are only so many.
+     */
+    @Override
+    public void releaseUnknown(String call) {
+        if (best() != null) {
+            release(call, Ending.COMPLETED, NOTHING);
+        } else if (!closed && waitingReleases.size() < limits.waitingUnknown()) {
+            waitingReleases.put(call, new Message(Message.RELEASE, call).withCause(Cause.OVER).bytes());
+        }
+    }
+
     @Override
     public void drain() {
         draining = true;
         endWaiting();
+        // Guards rule three against what was written and could not leave: it would, once the server reads again.
+        sessions.stream().filter(one -> one.isUp() && !one.sent.isEmpty() && one.connection.isStuck())
+                .toList().forEach(one -> one.end(ConnectionEnd.OVERFLOW));
     }
 
     /** What never left is free to go elsewhere at once. */
@@ -217,6 +296,17 @@
             return connection != null && !ending;
         }
 
+        /** One with nothing out on it may give way to a connection to another server; one with calls last. */
+        @Override
+        public Instant idleSince() {
+            return !isUp() || !sent.isEmpty() ? null
+                    : controller.get().standsAt(server.id()) ? used.plus(GIVES_WAY_LAST) : used;
+        }
+
+        private void giveWay(ConnectionEnd why) {
+            end(why);
+        }
+
         @Override
         public void opened(Connection up) {
             connection = up;
@@ -227,6 +317,7 @@
             redial = REDIAL_FIRST;
             used = scheduler.now();
             heard = used;
+            takingAt = used;
             vainDials = 0;
             idle = scheduler.after(idleAfter, this::closeIfIdle);
             silence = scheduler.after(limits.silence(), this::closeIfSilent);
@@ -337,6 +428,8 @@
         /** A state such as {@code free:12;size:299}: the server's free lines and all its lines. */
         private void groupState(Message message) {
             tellsLines = true;
+            everToldLines = true;
+            takingAt = scheduler.now();
             double free = Double.NaN;
             double size = Double.NaN;
             for (String figure : message.text(Message.STATE).split(";")) {
@@ -372,6 +465,7 @@
         @Override
         public void closed(ConnectionEnd end) {
             sessions.remove(this);
+            connections.ended(this);
             stop();
             if (closed) {
                 return;
@@ -385,6 +479,8 @@
             endSent(end);
             if (sessions.isEmpty()) {
                 allEnded(end);
+            } else if (sessions.stream().noneMatch(session -> session.connection == null)) {
+                endWaiting();   // the one that was dialled for them did not come up
             }
         }
     }
@@ -399,8 +495,10 @@
             controller.get().serverDied(server.id());
         }
         if (!closed && (controller.get().standsAt(server.id()) || !waitingReleases.isEmpty())) {
-            // What concerns standing calls may come on the next connection.
-            redialTimer = scheduler.after(redial, this::dial);
+            // What concerns standing calls may come on the next connection. Spread: a server that restarts is dialled by
+            // the whole fleet.
+            Duration wait = end == ConnectionEnd.GAVE_WAY ? REJOIN : redial;
+            redialTimer = scheduler.after(wait.plusNanos(random.nextLong(wait.toNanos() / 2)), this::dial);
             redial = redial.multipliedBy(2).compareTo(REDIAL_MOST) < 0 ? redial.multipliedBy(2) : REDIAL_MOST;
         }
     }
--- a/daemon/src/test/java/pathlane/exchange/LongDayTest.java
+++ b/daemon/src/test/java/pathlane/exchange/LongDayTest.java
@@ -43,6 +43,7 @@
                 String.format("9092 > {4 %016x 02 %08x 7f000001 %04x 00 00 00 0005 000003e8 0000000000000000"
                         + " %08x 7f000001 %04x 02 00 00 0005 000003e8 0000000000000000}", second + 3,
                         second + 10, 6000 + second % 3, second + 9, 6000 + (second + 2) % 3),
+                second > 1 ? 6000 + (second + 2) % 3 + " closed DELISTED" : "# none has gone yet",
                 "accept " + (6000 + second % 3),
                 "open " + caller,
                 String.format(caller + " > {2 01 " + call + " " + setUp + " 90{2 \"dest:1;width:1;via:-1\"} ae{2 01}}", 1500),
--- a/daemon/src/test/java/pathlane/exchange/Stage.java
+++ b/daemon/src/test/java/pathlane/exchange/Stage.java
@@ -40,7 +40,7 @@
  * {@code NAME > bytes} the other side writes; {@code NAME < bytes} the program has written just that next;
  * {@code NAME ends END} the other side ends it; {@code NAME closed END} the program has closed it;
  * {@code udp-PORT < bytes} it has sent just that datagram next;
- * {@code NAME answers watchdogs} as a Diameter peer that is well; {@code no dial PORT}; {@code wait MS};
+ * {@code NAME reads nothing} what was written there has not left; {@code NAME answers watchdogs} as a Diameter peer that is well; {@code no dial PORT}; {@code wait MS};
  * {@code bus PORT} the configuration is read again and names this port;
  * {@code lag MS} what comes next has waited so long for an own stall. Before each input and wait, all that the program wrote must have been named.
  */
@@ -59,6 +59,7 @@
         ConnectionEnd closed;
 
         boolean answersWatchdogs;
+        boolean stuck;
         Instant lastWritten;
 
         Line(Protocol protocol) {
@@ -86,6 +87,11 @@
             }
         }
 
+        @Override
+        public boolean isStuck() {
+            return stuck;
+        }
+
         @Override
         public String remote() {
             return "stage";
@@ -164,7 +170,7 @@
             Protocol protocol = callers.get();
             Line line = new Line(protocol);
             lines.put(words[1], line);
-            if (admission.admit(protocol, line)) {
+            if (admission.admit(protocol, line::close)) {
                 protocol.opened(line);
             } else {
                 line.closed = ConnectionEnd.TURNED_AWAY;
@@ -203,6 +209,7 @@
                 }
                 expected.keep(written, kept);
             }
+            case "reads" -> line.stuck = rest.equals("nothing");
             case "answers" -> line.answersWatchdogs = true;
             case "ends" -> {
                 nothingUnnamed();
--- a/grpc/src/main/java/pathlane/grpc/BusNameResolver.java
+++ b/grpc/src/main/java/pathlane/grpc/BusNameResolver.java
@@ -5,6 +5,7 @@
 import io.grpc.NameResolver;
 import io.grpc.StatusOr;
 import java.net.InetSocketAddress;
+import java.util.SplittableRandom;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -45,7 +46,7 @@
     @Override
     public void start(Listener2 to) {
         listener = to;
-        new BusFeed(0, dialer, time, this::event).follow(bus);
+        new BusFeed(0, dialer, time, new SplittableRandom(), this::event).follow(bus);
     }
 
     private void event(ServerList list) {
--- a/wire/src/main/java/pathlane/bus/BusFeed.java
+++ b/wire/src/main/java/pathlane/bus/BusFeed.java
@@ -6,6 +6,7 @@
 import java.nio.ByteBuffer;
 import java.time.Duration;
 import java.util.List;
+import java.util.SplittableRandom;
 import java.util.function.Consumer;
 import pathlane.core.ConnectionEnd;
 import pathlane.core.Scheduler;
@@ -30,12 +31,14 @@
     private static final int WHOLE = 1;
     private static final int CHANGES = 2;
     private static final Duration DIAL_TIMEOUT = Duration.ofMillis(500);
+    /** Half of it at the least, so that a fleet which lost the bus at once does not come back at once. */
     private static final Duration REDIAL = Duration.ofMillis(200);
     /** The bus says something each second; an event counts as told 7 s on, whether it arrived or not. */
     private static final Duration MOST_SILENCE = Duration.ofMillis(2500);
 
     private final Dialer dialer;
     private final Scheduler scheduler;
+    private final SplittableRandom random;
     private final Consumer<ServerList> events;
     private InetSocketAddress bus;
     private long last;
@@ -46,10 +49,12 @@
     private Session session;
 
     /** {@code last} is the number of the last event that is known. */
-    public BusFeed(long last, Dialer dialer, Scheduler scheduler, Consumer<ServerList> events) {
+    public BusFeed(long last, Dialer dialer, Scheduler scheduler, SplittableRandom random,
+                   Consumer<ServerList> events) {
         this.last = last;
         this.dialer = dialer;
         this.scheduler = scheduler;
+        this.random = random;
         this.events = events;
     }
 
@@ -163,7 +168,8 @@
                 LOG.log(Level.WARNING, "event bus is down: {0}; dialling again", end);
             }
             wasUp = false;
-            scheduler.after(REDIAL, () -> {
+            long half = REDIAL.toNanos() / 2;
+            scheduler.after(Duration.ofNanos(half + random.nextLong(half)), () -> {
                 if (session == this) {
                     dial();
                 }
