At hundreds of servers, each is visited after a start: ends of older calls wait there

With connections on demand a restarted controller would not connect to most of hundreds of servers, and a server tells the end of a call from before the restart on the next connection only: the caller is owed it within 8 s. Each server that was listed at the start and not dialled ahead is now connected to once, spread over 4 s; one that gave way meanwhile is opened again for 30 s.

--- a/daemon/src/main/java/pathlane/platform/PlatformFront.java
+++ b/daemon/src/main/java/pathlane/platform/PlatformFront.java
@@ -1,5 +1,6 @@
 package pathlane.platform;
 
+import java.time.Instant;
 import java.util.SplittableRandom;
 import java.util.function.BooleanSupplier;
 import pathlane.bus.BusFeed;
@@ -30,10 +31,11 @@
         this.scheduler = scheduler;
         this.callerLog = new LimitedLog("callers", scheduler);
         SplittableRandom random = new SplittableRandom(config.seed());
+        Instant startedAt = scheduler.now();
         Admission servers = new Admission(config.descriptors().servers());
         controller = new CallController(config.settings(), config.seed(), scheduler,
                 line -> new ServerLink(line, config.settings(), ServerLimits.USUAL, this::controller, dialer, scheduler,
-                        servers, random));
+                        servers, random, startedAt));
         KnownEvents.read(config).forEach(event -> controller.listed(event.whole(), event.lines()));
         feed = new BusFeed(config.knownOffset(), dialer, scheduler, random.split(),
                 event -> controller.listed(event.whole(), event.lines()));
--- a/daemon/src/main/java/pathlane/platform/ServerLink.java
+++ b/daemon/src/main/java/pathlane/platform/ServerLink.java
@@ -52,6 +52,12 @@
     private static final int AHEAD_PART = 4;
     /** A connection that gave way is opened again after this, or up to half as much more: ends may wait there. */
     private static final Duration REJOIN = Duration.ofSeconds(3);
+    /** A server that was not dialled at its listing is visited within so long: ends of older calls may wait there. */
+    private static final Duration VISIT = Duration.ofSeconds(4);
+    /** Servers that are listed later after the program's start are new to all. */
+    private static final Duration STARTING = Duration.ofSeconds(5);
+    /** So long after the program's start hardly any call from before it stands. */
+    private static final Duration OLDER_CALLS = Duration.ofSeconds(30);
     /** Dials in vain after which a silent server's calls count as cut: they can't be released any more. */
     private static final int VAIN_DIALS = 2;
 
@@ -88,15 +94,18 @@
     /** When the server last showed that it takes new set-ups: it told its lines, or took a connection. */
     private Instant takingAt = Instant.MIN;
     private boolean everToldLines;
+    private final Instant startedAt;
 
     /**
      * The controller is asked for late: it makes its ports itself.
      *
      * @param connections the connections to all servers
      * @param random spreads what would come from a whole fleet at once
+     * @param startedAt when the program started
      */
     public ServerLink(ServerLine server, Settings settings, ServerLimits limits, Supplier<CallController> controller,
-                      Dialer dialer, Scheduler scheduler, Admission connections, SplittableRandom random) {
+                      Dialer dialer, Scheduler scheduler, Admission connections, SplittableRandom random,
+                      Instant startedAt) {
         this.server = server;
         this.name = ServerList.serverName(server.id());
         this.idleAfter = settings.idleClose().multipliedBy(IDLE_PERCENT).dividedBy(100);
@@ -107,8 +116,24 @@
         this.scheduler = scheduler;
         this.connections = connections;
         this.random = random;
+        this.startedAt = startedAt;
         if (connections.isUnder(AHEAD_PART)) {
             dialOne();
+        } else if (scheduler.now().isBefore(startedAt.plus(STARTING))) {
+            redialTimer = scheduler.after(Duration.ofNanos(random.nextLong(VISIT.toNanos())), this::visit);
+        }
+    }
+
+    /**
+     * Guards calls from before the program's start: a server tells their ends on the next connection that it gets from
+     * here, and the caller is owed them within 8 s. Spread, so that a start is no burst of hundreds of connections.
+     */
+    private void visit() {
+        if (!closed && sessions.isEmpty()) {
+            dial();
+            if (sessions.isEmpty()) {
+                redialTimer = scheduler.after(REDIAL_MOST, this::visit);   // no descriptor was left
+            }
         }
     }
 
@@ -494,11 +519,12 @@
             // the list may tell so too late.
             controller.get().serverDied(server.id());
         }
-        if (!closed && (controller.get().standsAt(server.id()) || !waitingReleases.isEmpty())) {
+        if (!closed && (controller.get().standsAt(server.id()) || !waitingReleases.isEmpty()
+                || end == ConnectionEnd.GAVE_WAY && scheduler.now().isBefore(startedAt.plus(OLDER_CALLS)))) {
             // What concerns standing calls may come on the next connection. Spread: a server that restarts is dialled by
             // the whole fleet.
             Duration wait = end == ConnectionEnd.GAVE_WAY ? REJOIN : redial;
-            redialTimer = scheduler.after(wait.plusNanos(random.nextLong(wait.toNanos() / 2)), this::dial);
+            redialTimer = scheduler.after(wait.plusNanos(random.nextLong(wait.toNanos() / 2)), this::visit);
             redial = redial.multipliedBy(2).compareTo(REDIAL_MOST) < 0 ? redial.multipliedBy(2) : REDIAL_MOST;
         }
     }
--- a/daemon/src/test/java/pathlane/exchange/ServerField.java
+++ b/daemon/src/test/java/pathlane/exchange/ServerField.java
@@ -148,6 +148,11 @@
         server.tell();
     }
 
+    /** A call that was set up there from here before the start ends now, and its end waits for a connection. */
+    void endsOlder(int port, long call) {
+        servers.get(port).waiting.add(new Message(Message.RELEASE, call).withCause(OVER));
+    }
+
     /** It drains from now on, and the controllers are told so now. */
     void drain(int port) {
         servers.get(port).drainTold = time.now();
