A start listens once the bus has told what happened since the list in the configuration

So a set-up that comes between 'serves' and the first event goes to a drained server. Ruled out: reloads that never came (all logs end on port 9093), stalls (no lag in them). Lines at fault: Node.serve listens as soon as the front is built.

Now it waits until the bus's connection has been up for 200 ms, or has said that there is nothing new, 3 s at the most.

--- a/daemon/src/main/java/pathlane/Node.java
+++ b/daemon/src/main/java/pathlane/Node.java
@@ -10,6 +10,9 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutionException;
+import java.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
 import java.util.function.Supplier;
 import pathlane.config.file.CallerLimits;
 import pathlane.config.file.DiameterConfig;
@@ -29,12 +32,14 @@
     private static final Logger LOG = System.getLogger("node");
     /** After SIGTERM callers still come for 0.4 s, and what they ask on open connections for 0.2 s more. */
     private static final Duration STILL_COMING = Duration.ofMillis(750);
+    /** A start waits so long for the event bus. */
+    private static final Duration MOST_WITHOUT_BUS = Duration.ofSeconds(3);
     private static final Duration END_CHECK = Duration.ofMillis(20);
 
     /** A front: who decides its calls, what meets its callers, and how it parts from its peers at the end, and what it
      * does when its configuration is to be read again. */
     private record Front(CallController controller, Supplier<Protocol> callers, CallerLimits limits, Runnable part,
-                         Runnable reload) { }
+                         Runnable reload, Future<Void> current) { }
 
     private final EventLoop loop = new EventLoop();
     private final Network network = new Network(loop);
@@ -49,7 +54,7 @@
         node.serve(config.name(), config.listen(), hangUp, () -> {
             PlatformFront platform = new PlatformFront(config, node.network, node.loop, () -> !node.ending);
             return new Front(platform.controller(), platform::accept, config.callers(), () -> { },
-                    () -> platform.reload(NodeConfig.read(file)));
+                    () -> platform.reload(NodeConfig.read(file)), platform.current());
         });
     }
 
@@ -71,7 +76,7 @@
             return new Front(diameter.controller(), diameter::accept, config.callers(),
                     diameter::disconnect, () -> {
                 throw new IllegalArgumentException("the Diameter front reads its file at its start alone");
-            });
+            }, CompletableFuture.completedFuture(null));
         });
     }
 
@@ -87,7 +92,8 @@
         });
         InetSocketAddress bound;
         try {
-            bound = network.listen(listen, built.get().callers(), front.limits());
+            await(built.get().current());
+            bound = network.listen(listen, front.callers(), front.limits());
         } catch (ExecutionException e) {
             loop.close();
             throw new IllegalArgumentException(e.getCause().getMessage(), e);
@@ -100,6 +106,18 @@
         LOG.log(Level.INFO, "call controller {0} serves on {1}", name, bound);
     }
 
+    /**
+     * Guards rule three at a start: the configuration may hold an old list, and what the bus has told since counts as
+     * told. Nobody is served before it has been read, or before it is clear that it can't be had.
+     */
+    private void await(Future<Void> current) throws InterruptedException, ExecutionException {
+        try {
+            current.get(MOST_WITHOUT_BUS.toMillis(), TimeUnit.MILLISECONDS);
+        } catch (TimeoutException e) {
+            LOG.log(Level.WARNING, "the event bus can''t be reached; serving by the list in the configuration");
+        }
+    }
+
     /** Reads the configuration again; one that can't be used changes nothing. */
     private void reload() {
         try {
--- a/daemon/src/main/java/pathlane/platform/PlatformFront.java
+++ b/daemon/src/main/java/pathlane/platform/PlatformFront.java
@@ -2,6 +2,7 @@
 
 import java.time.Instant;
 import java.util.SplittableRandom;
+import java.util.concurrent.CompletableFuture;
 import java.util.function.BooleanSupplier;
 import pathlane.bus.BusFeed;
 import pathlane.config.file.CallerLimits;
@@ -41,6 +42,8 @@
                 event -> controller.listed(event.whole(), event.lines()));
         if (config.bus() != null) {
             feed.follow(config.bus());
+        } else {
+            feed.current().complete(null);
         }
     }
 
@@ -57,6 +60,11 @@
         feed.follow(fresh.bus());
     }
 
+    /** Done once the list is what the event bus had at the start, or where there is no bus. */
+    public CompletableFuture<Void> current() {
+        return feed.current();
+    }
+
     public CallController controller() {
         return controller;
     }
--- a/daemon/src/main/java/pathlane/platform/ServerLink.java
+++ b/daemon/src/main/java/pathlane/platform/ServerLink.java
@@ -91,7 +91,7 @@
     private boolean draining;
     /** Whether the server ended the last connection that was up, as it does when its process stops or dies. */
     private boolean leftByServer;
-    /** When the server last showed that it takes new set-ups: it told its lines, or took a connection. */
+    /** When the server last showed that it takes new set-ups: it told its lines, or took the only connection. */
     private Instant takingAt = Instant.MIN;
     private boolean everToldLines;
     private final Instant startedAt;
@@ -179,8 +179,8 @@
 
     /**
      * Guards rule three against a list that comes too late or not at all: a server that drains goes on answering and
-     * ending its calls, but it tells no lines and takes no connection any more. One that has not told its lines for
-     * long has to take a connection before it is sent anything new.
+     * ending its calls, and takes connections for some seconds more, but it tells no lines. One that has not told them
+     * for long on a connection that is up is sent nothing new before it tells them again.
      */
     private boolean mayDrain() {
         return everToldLines && takingAt.plus(limits.untold()).isBefore(scheduler.now());
@@ -342,13 +342,18 @@
             redial = REDIAL_FIRST;
             used = scheduler.now();
             heard = used;
-            takingAt = used;
+            if (sessions.stream().noneMatch(session -> session != this && session.isUp())) {
+                takingAt = used;   // nothing could have been told meanwhile
+            }
             vainDials = 0;
             idle = scheduler.after(idleAfter, this::closeIfIdle);
             silence = scheduler.after(limits.silence(), this::closeIfSilent);
             LOG.log(Level.INFO, "server {0} at {1} is up", name, up.remote());
             waitingReleases.values().forEach(up::write);
             waitingReleases.clear();
+            if (mayDrain()) {
+                endWaiting();
+            }
             waitingSetUps.forEach(this::setUp);
             waitingSetUps.clear();
         }
--- a/wire/src/main/java/pathlane/bus/BusFeed.java
+++ b/wire/src/main/java/pathlane/bus/BusFeed.java
@@ -7,6 +7,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.SplittableRandom;
+import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
 import pathlane.core.ConnectionEnd;
 import pathlane.core.Scheduler;
@@ -36,6 +37,12 @@
     /** The bus says something each second; an event counts as told 7 s on, whether it arrived or not. */
     private static final Duration MOST_SILENCE = Duration.ofMillis(2500);
 
+    /**
+     * What the bus has in store for a new connection has come by then. The way there and back takes 63 ms at the most by
+     * the platform's figures (24 ms one way, a third more by jitter); this leaves three times that.
+     */
+    private static final Duration CATCH_UP = Duration.ofMillis(200);
+
     private final Dialer dialer;
     private final Scheduler scheduler;
     private final SplittableRandom random;
@@ -47,6 +54,7 @@
     private long unreadable = -1;
     /** The one connection that is followed or dialled; whatever another one still does concerns nobody. */
     private Session session;
+    private final CompletableFuture<Void> current = new CompletableFuture<>();
 
     /** {@code last} is the number of the last event that is known. */
     public BusFeed(long last, Dialer dialer, Scheduler scheduler, SplittableRandom random,
@@ -72,6 +80,11 @@
         }
     }
 
+    /** Done, on the loop, once all that the bus had to tell at the first connection has been read. */
+    public CompletableFuture<Void> current() {
+        return current;
+    }
+
     private void dial() {
         session = new Session();
         dialer.dial(bus, DIAL_TIMEOUT, session);
@@ -82,6 +95,7 @@
         private final FrameAssembler assembler = new FrameAssembler(LENGTH_BYTES, HEAD, LONGEST);
         private Connection connection;
         private Scheduler.Timer silence;
+        private boolean ended;
 
         @Override
         public void opened(Connection up) {
@@ -94,6 +108,11 @@
             LOG.log(Level.INFO, "event bus is up, from event {0}", Long.toString(last));
             up.write(ByteBuffer.allocate(Long.BYTES).putLong(last).array());
             await();
+            scheduler.after(CATCH_UP, () -> {
+                if (session == this && !ended) {
+                    current.complete(null);
+                }
+            });
         }
 
         /** Guards against a bus that went without a word: nothing would ever tell. */
@@ -119,6 +138,7 @@
             long number = frame.getLong();
             int kind = frame.get() & 0xff;
             if (kind == NOTHING_NEW) {
+                current.complete(null);
                 return;
             }
             if (kind != WHOLE && kind != CHANGES) {
@@ -158,6 +178,7 @@
 
         @Override
         public void closed(ConnectionEnd end) {
+            ended = true;
             if (silence != null) {
                 silence.cancel();
             }
