A server untold for 1.5 s is sent nothing new before it tells its lines again

A server tells its lines each second and stops at once when it drains; the bus says so 0.6 s later at the soonest, and a second after that nothing new may go there. With 5 s the guard came after the rule.

--- a/daemon/src/main/java/pathlane/config/file/ServerLimits.java
+++ b/daemon/src/main/java/pathlane/config/file/ServerLimits.java
@@ -12,12 +12,12 @@
  * @param waitingReleases releases that wait for a connection to one server
  * @param waitingUnknown releases of calls that are not known, waiting for a connection to one server
  * @param silence a server tells its free lines each second; after so long without a word a connection may be dead
- * @param untold after so long without its lines a server that once told them may drain. By the platform's protocol it
- *               counts as told 7 s after it began to drain, and a second later nothing new may go there
+ * @param untold after so long without its lines, which it tells each second, a server may have begun to drain. The bus
+ *               may say so over a second later than it counts as told, and a second after that nothing new may go there
  */
 public record ServerLimits(int connections, Duration unfinished, Duration overtaken, int waitingReleases,
                            int waitingUnknown, Duration silence, Duration untold) {
 
     public static final ServerLimits USUAL = new ServerLimits(4, Duration.ofSeconds(1), Duration.ofMillis(100),
-            10_000, 64, Duration.ofSeconds(4), Duration.ofSeconds(5));
+            10_000, 64, Duration.ofSeconds(4), Duration.ofMillis(1500));
 }
