A reload that never comes, drains while the bus is not heard, and calls nobody can end any more

Possible without turning callers away: what is known of each server goes elsewhere. Not possible: to know of a drain at a server whose lines came right before it, sooner than its next silence.

--- a/daemon/src/main/java/pathlane/HangUp.java
+++ b/daemon/src/main/java/pathlane/HangUp.java
@@ -1,6 +1,7 @@
 package pathlane;
 
 import sun.misc.Signal;
+import sun.misc.SignalHandler;
 
 /**
  * Minds SIGHUP from the first line of the program on. Guards against the end that a JVM comes to at that signal unless
@@ -10,14 +11,21 @@
 
     private Runnable reload;
     private boolean asked;
+    /** Whether whoever started the program had the signal ignored: a JVM leaves it so, without a word. */
+    private boolean unheard;
 
     /** Takes the signal over; what it asks for before there is somebody to do it is done then. */
     static HangUp minded() {
         HangUp hangUp = new HangUp();
-        Signal.handle(new Signal("HUP"), signal -> hangUp.came());
+        hangUp.unheard = Signal.handle(new Signal("HUP"), signal -> hangUp.came()) == SignalHandler.SIG_IGN;
         return hangUp;
     }
 
+    /** Whether the signal never comes: the program was started with it ignored, as {@code nohup} does. */
+    boolean isUnheard() {
+        return unheard;
+    }
+
     synchronized void came() {
         if (reload == null) {
             asked = true;
--- a/daemon/src/main/java/pathlane/Node.java
+++ b/daemon/src/main/java/pathlane/Node.java
@@ -15,6 +15,7 @@
 import java.util.concurrent.TimeoutException;
 import java.util.function.Supplier;
 import pathlane.config.file.CallerLimits;
+import pathlane.config.file.ConfigFile;
 import pathlane.config.file.DiameterConfig;
 import pathlane.config.file.NodeConfig;
 import pathlane.core.CallController;
@@ -49,12 +50,14 @@
 
     /** Starts a call controller on the platform; it serves until the process is asked to end. */
     static void startPlatform(Path file, HangUp hangUp) {
-        NodeConfig config = NodeConfig.read(file);
+        ConfigFile configFile = new ConfigFile(file);
+        NodeConfig config = configFile.read();
         Node node = new Node();
         node.serve(config.name(), config.listen(), hangUp, () -> {
-            PlatformFront platform = new PlatformFront(config, node.network, node.loop, () -> !node.ending);
+            PlatformFront platform = new PlatformFront(config, node.network, node.loop, () -> !node.ending,
+                    configFile::readIfChanged);
             return new Front(platform.controller(), platform::accept, config.callers(), () -> { },
-                    () -> platform.reload(NodeConfig.read(file)), platform.current());
+                    () -> platform.reload(configFile.read()), platform.current());
         });
     }
 
@@ -104,6 +107,9 @@
         Runtime.getRuntime().addShutdownHook(new Thread(this::end, "end"));
         hangUp.does(() -> loop.execute(this::reload));
         LOG.log(Level.INFO, "call controller {0} serves on {1}", name, bound);
+        if (hangUp.isUnheard()) {
+            LOG.log(Level.WARNING, "SIGHUP was ignored when the program was started: it asks for no reload here");
+        }
     }
 
     /**
@@ -114,7 +120,7 @@
         try {
             current.get(MOST_WITHOUT_BUS.toMillis(), TimeUnit.MILLISECONDS);
         } catch (TimeoutException e) {
-            LOG.log(Level.WARNING, "the event bus can''t be reached; serving by the list in the configuration");
+            LOG.log(Level.WARNING, "the event bus can't be reached; serving by the list in the configuration");
         }
     }
 
--- a/daemon/src/main/java/pathlane/config/file/NodeConfig.java
+++ b/daemon/src/main/java/pathlane/config/file/NodeConfig.java
@@ -3,9 +3,7 @@
 import com.google.gson.JsonArray;
 import com.google.gson.JsonObject;
 import com.google.gson.JsonParser;
-import java.io.IOException;
 import java.net.InetSocketAddress;
-import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Duration;
 import pathlane.config.Settings;
@@ -28,25 +26,6 @@
     /** A process that has just begun to serve takes up some 40. */
     private static final int LEAST_MEMORY_MB = 64;
 
-    /**
-     * Reads the file.
-     *
-     * @throws IllegalArgumentException with one plain sentence where it can't be used
-     */
-    public static NodeConfig read(Path file) {
-        String text;
-        try {
-            text = Files.readString(file);
-        } catch (IOException e) {
-            throw new IllegalArgumentException("the configuration " + file + " can't be read", e);
-        }
-        try {
-            return parse(text);
-        } catch (RuntimeException e) {
-            throw unusable(file, e);
-        }
-    }
-
     /** What is wrong with a file, in one line: a parser's message may go on with a second one. */
     static IllegalArgumentException unusable(Path file, RuntimeException why) {
         String first = String.valueOf(why.getMessage()).lines().findFirst().orElse("");
--- a/daemon/src/main/java/pathlane/platform/CallerSession.java
+++ b/daemon/src/main/java/pathlane/platform/CallerSession.java
@@ -142,7 +142,7 @@
             // Where two set-ups on one connection have one id, no answer could say which it is for.
             throw new BadInput(why);
         }
-        log.warn("caller {0}: a set-up that can't be used: {1}", connection.remote(), why);
+        log.warn("caller {0}: a set-up that can''t be used: {1}", connection.remote(), why);
         fail(setUp.id());
     }
 
--- a/daemon/src/main/java/pathlane/platform/PlatformFront.java
+++ b/daemon/src/main/java/pathlane/platform/PlatformFront.java
@@ -1,9 +1,13 @@
 package pathlane.platform;
 
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
 import java.time.Instant;
+import java.util.Optional;
 import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.BooleanSupplier;
+import java.util.function.Supplier;
 import pathlane.bus.BusFeed;
 import pathlane.config.file.CallerLimits;
 import pathlane.config.file.NodeConfig;
@@ -18,28 +22,40 @@
 /** The platform's front of a call controller: callers, session servers and the event bus. */
 public final class PlatformFront {
 
+    private static final Logger LOG = System.getLogger("bus");
+
     private final CallController controller;
     private final BooleanSupplier ready;
     private final BusFeed feed;
     private final CallerLimits limits;
     private final Scheduler scheduler;
     private final LimitedLog callerLog;
+    private final Supplier<Optional<NodeConfig>> changed;
 
-    /** Starts with the events that the configuration holds; {@code ready} is asked at each test. */
-    public PlatformFront(NodeConfig config, Dialer dialer, Scheduler scheduler, BooleanSupplier ready) {
+    /**
+     * Starts with the events that the configuration holds; {@code ready} is asked at each test.
+     *
+     * @param changed the configuration as it is now, where it has changed since it was last read; it throws an
+     *                IllegalArgumentException with a sentence where what it has changed to can't be used. Asked on the
+     *                loop, once a second at the most, while the event bus can't be reached
+     */
+    public PlatformFront(NodeConfig config, Dialer dialer, Scheduler scheduler, BooleanSupplier ready,
+                         Supplier<Optional<NodeConfig>> changed) {
         this.ready = ready;
+        this.changed = changed;
         this.limits = config.callers();
         this.scheduler = scheduler;
         this.callerLog = new LimitedLog("callers", scheduler);
         SplittableRandom random = new SplittableRandom(config.seed());
         Instant startedAt = scheduler.now();
         Admission servers = new Admission(config.descriptors().servers());
+        ServerLink.Common common = new ServerLink.Common(config.settings(), ServerLimits.USUAL, this::controller,
+                this::isListCurrent, dialer, scheduler, servers, random, startedAt);
         controller = new CallController(config.settings(), config.seed(), scheduler,
-                line -> new ServerLink(line, config.settings(), ServerLimits.USUAL, this::controller, dialer, scheduler,
-                        servers, random, startedAt));
+                line -> new ServerLink(line, common));
         KnownEvents.read(config).forEach(event -> controller.listed(event.whole(), event.lines()));
         feed = new BusFeed(config.knownOffset(), dialer, scheduler, random.split(),
-                event -> controller.listed(event.whole(), event.lines()));
+                event -> controller.listed(event.whole(), event.lines()), this::busUnreachable);
         if (config.bus() != null) {
             feed.follow(config.bus());
         } else {
@@ -60,6 +76,27 @@
         feed.follow(fresh.bus());
     }
 
+    /**
+     * Guards against a reload that never came: whoever moved the bus wrote the new address to the file, and the signal
+     * for it may be lost, or the operator with it.
+     */
+    private void busUnreachable() {
+        try {
+            changed.get().ifPresent(fresh -> {
+                reload(fresh);
+                LOG.log(Level.INFO, "configuration read again, unasked: the event bus can't be reached where it was");
+            });
+        } catch (IllegalArgumentException e) {
+            LOG.log(Level.WARNING, "the event bus can''t be reached, and a new configuration can''t be used: {0}",
+                    e.getMessage());
+        }
+    }
+
+    /** Whether a server that drains would be known by now; where there is no bus, the list never changes. */
+    private boolean isListCurrent() {
+        return feed.isCurrent();
+    }
+
     /** Done once the list is what the event bus had at the start, or where there is no bus. */
     public CompletableFuture<Void> current() {
         return feed.current();
--- a/daemon/src/main/java/pathlane/platform/ServerLink.java
+++ b/daemon/src/main/java/pathlane/platform/ServerLink.java
@@ -11,6 +11,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.SplittableRandom;
+import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
 import pathlane.bus.ServerList;
 import pathlane.config.Settings;
@@ -61,11 +62,25 @@
     /** Dials in vain after which a silent server's calls count as cut: they can't be released any more. */
     private static final int VAIN_DIALS = 2;
 
+    /**
+     * What the ways to all session servers have in common.
+     *
+     * @param controller asked for late: it makes its ports itself
+     * @param listCurrent whether the bus would have told by now if a server had begun to drain
+     * @param connections the connections to all servers
+     * @param random spreads what would come from a whole fleet at once
+     * @param startedAt when the program started
+     */
+    public record Common(Settings settings, ServerLimits limits, Supplier<CallController> controller,
+                         BooleanSupplier listCurrent, Dialer dialer, Scheduler scheduler, Admission connections,
+                         SplittableRandom random, Instant startedAt) { }
+
     private final ServerLine server;
     private final String name;
     private final Settings settings;
     private final ServerLimits limits;
     private final Supplier<CallController> controller;
+    private final BooleanSupplier listCurrent;
     private final Dialer dialer;
     private final Scheduler scheduler;
     private final Admission connections;
@@ -91,32 +106,27 @@
     private boolean draining;
     /** Whether the server ended the last connection that was up, as it does when its process stops or dies. */
     private boolean leftByServer;
+    /** Runs out once no connection to the server could be had for too long while calls stand there. */
+    private Scheduler.Timer unreached;
     /** When the server last showed that it takes new set-ups: it told its lines, or took the only connection. */
     private Instant takingAt = Instant.MIN;
     private boolean everToldLines;
     private final Instant startedAt;
 
-    /**
-     * The controller is asked for late: it makes its ports itself.
-     *
-     * @param connections the connections to all servers
-     * @param random spreads what would come from a whole fleet at once
-     * @param startedAt when the program started
-     */
-    public ServerLink(ServerLine server, Settings settings, ServerLimits limits, Supplier<CallController> controller,
-                      Dialer dialer, Scheduler scheduler, Admission connections, SplittableRandom random,
-                      Instant startedAt) {
+    /** Dials the server at once where there are descriptors for it, and visits it later where there are not. */
+    public ServerLink(ServerLine server, Common common) {
         this.server = server;
         this.name = ServerList.serverName(server.id());
-        this.idleAfter = settings.idleClose().multipliedBy(IDLE_PERCENT).dividedBy(100);
-        this.settings = settings;
-        this.limits = limits;
-        this.controller = controller;
-        this.dialer = dialer;
-        this.scheduler = scheduler;
-        this.connections = connections;
-        this.random = random;
-        this.startedAt = startedAt;
+        this.idleAfter = common.settings.idleClose().multipliedBy(IDLE_PERCENT).dividedBy(100);
+        this.settings = common.settings;
+        this.limits = common.limits;
+        this.controller = common.controller;
+        this.listCurrent = common.listCurrent;
+        this.dialer = common.dialer;
+        this.scheduler = common.scheduler;
+        this.connections = common.connections;
+        this.random = common.random;
+        this.startedAt = common.startedAt;
         if (connections.isUnder(AHEAD_PART)) {
             dialOne();
         } else if (scheduler.now().isBefore(startedAt.plus(STARTING))) {
@@ -183,7 +193,8 @@
      * for long on a connection that is up is sent nothing new before it tells them again.
      */
     private boolean mayDrain() {
-        return everToldLines && takingAt.plus(limits.untold()).isBefore(scheduler.now());
+        Duration untold = listCurrent.getAsBoolean() ? limits.untold() : limits.untoldUnsure();
+        return everToldLines && takingAt.plus(untold).isBefore(scheduler.now());
     }
 
     @Override
@@ -273,6 +284,13 @@
                 .toList().forEach(one -> one.end(ConnectionEnd.OVERFLOW));
     }
 
+    /** A new connection on which no lines were told, while the bus is not heard, shows nothing of a drain. */
+    private void endUntold() {
+        if (mayDrain()) {
+            endWaiting();
+        }
+    }
+
     /** What never left is free to go elsewhere at once. */
     private void endWaiting() {
         List<String> ended = List.copyOf(waitingSetUps.keySet());
@@ -284,6 +302,7 @@
     @Override
     public void close() {
         closed = true;
+        reached();
         waitingReleases.clear();
         if (redialTimer != null) {
             redialTimer.cancel();
@@ -340,10 +359,11 @@
                 return;
             }
             redial = REDIAL_FIRST;
+            reached();
             used = scheduler.now();
             heard = used;
-            if (sessions.stream().noneMatch(session -> session != this && session.isUp())) {
-                takingAt = used;   // nothing could have been told meanwhile
+            if (listCurrent.getAsBoolean() && sessions.stream().noneMatch(one -> one != this && one.isUp())) {
+                takingAt = used;   // nothing could have been told meanwhile, and a drain would be known
             }
             vainDials = 0;
             idle = scheduler.after(idleAfter, this::closeIfIdle);
@@ -351,9 +371,16 @@
             LOG.log(Level.INFO, "server {0} at {1} is up", name, up.remote());
             waitingReleases.values().forEach(up::write);
             waitingReleases.clear();
-            if (mayDrain()) {
+            if (!mayDrain()) {
+                sendWaiting();
+            } else if (listCurrent.getAsBoolean()) {
                 endWaiting();
+            } else {
+                scheduler.after(limits.firstLines(), ServerLink.this::endUntold);
             }
+        }
+
+        private void sendWaiting() {
             waitingSetUps.forEach(this::setUp);
             waitingSetUps.clear();
         }
@@ -473,6 +500,9 @@
                     throw new BadInput("a state '" + figure + "'");
                 }
             }
+            if (!draining && isUp() && !connection.isStuck()) {
+                sendWaiting();
+            }
             controller.get().linesTold(server.id(), free, size);
         }
 
@@ -505,6 +535,7 @@
                 noMoreBefore = scheduler.now().plus(REDIAL_MOST);
             } else {
                 leftByServer = end == ConnectionEnd.RESET || end == ConnectionEnd.CLOSED_BY_PEER;
+                awaitReached();
             }
             endSent(end);
             if (sessions.isEmpty()) {
@@ -515,6 +546,31 @@
         }
     }
 
+    /**
+     * Guards calls that stand at a server that takes no connection any more, since it drains, and whose last one was lost
+     * by no doing of its own: their ends can't be told, and the list may say too late that it has gone. A caller is owed
+     * the end of its call within 8 s of it, and none can have come before the connection was lost.
+     */
+    private void awaitReached() {
+        if (sessions.stream().noneMatch(Session::isUp) && unreached == null) {
+            unreached = scheduler.after(limits.unreached(), () -> {
+                unreached = null;
+                if (!closed && controller.get().standsAt(server.id())) {
+                    LOG.log(Level.WARNING, "server {0} could not be reached for {1} ms: its calls count as cut", name,
+                            Long.toString(limits.unreached().toMillis()));
+                    controller.get().serverDied(server.id());
+                }
+            });
+        }
+    }
+
+    private void reached() {
+        if (unreached != null) {
+            unreached.cancel();
+            unreached = null;
+        }
+    }
+
     /** Nothing is up or dialled any more. */
     private void allEnded(ConnectionEnd end) {
         endWaiting();
--- a/daemon/src/test/java/pathlane/exchange/ManyServersTest.java
+++ b/daemon/src/test/java/pathlane/exchange/ManyServersTest.java
@@ -10,6 +10,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
@@ -49,6 +50,7 @@
     private int ended;
     private int older;
     private Protocol bus;
+    private boolean busBeats = true;
     private Protocol caller;
     private long event = 1;
     private long calls;
@@ -63,6 +65,13 @@
         play(512, 278);
     }
 
+    /** The bus is not heard: what servers tell of their lines is all that is known of drains, and calls stand all the same. */
+    @Test
+    void withoutTheBus() {
+        busBeats = false;
+        play(512, 278);
+    }
+
     /** Fewer than there are calls that stand at a time, at servers all different: the ends still come in time. */
     @Test
     void onFewerThanCallsThatStand() {
@@ -77,11 +86,14 @@
         PlatformFront front = new PlatformFront(NodeConfig.parse(config(descriptors)), (address, timeout, protocol) -> {
             if (address.getPort() == BUS_PORT) {
                 bus = protocol;
-                time.after(Duration.ofMillis(1), () -> protocol.opened(new Silent()));
+                time.after(Duration.ofMillis(1), () -> {
+                    protocol.opened(new Silent());
+                    beat();
+                });
             } else {
                 field.dial(address, timeout, protocol);
             }
-        }, time, () -> true);
+        }, time, () -> true, Optional::empty);
         caller = front.accept();
         caller.opened(new Hears());
         // Each server has the end of a call from before the start to tell: the caller is owed it within 8 s.
@@ -116,6 +128,14 @@
         assertTrue(since <= 5 * calls, () -> since + " dials for " + calls + " calls");
     }
 
+    /** The bus says something each second, as long as it is heard. */
+    private void beat() {
+        if (busBeats) {
+            bus.received(ByteBuffer.allocate(HEAD).putInt(HEAD - 4).putLong(event).put((byte) 0).flip());
+        }
+        time.after(Duration.ofSeconds(1), this::beat);
+    }
+
     /** A call each 25 ms for so long, each with another first choice. */
     private void call(int millis) {
         for (int spent = 0; spent < millis; spent += 25) {
--- a/daemon/src/test/java/pathlane/exchange/Stage.java
+++ b/daemon/src/test/java/pathlane/exchange/Stage.java
@@ -14,6 +14,7 @@
 import java.util.HashMap;
 import java.util.HexFormat;
 import java.util.Map;
+import java.util.Optional;
 import java.util.PriorityQueue;
 import java.util.SplittableRandom;
 import java.util.function.Consumer;
@@ -41,7 +42,8 @@
  * {@code NAME ends END} the other side ends it; {@code NAME closed END} the program has closed it;
  * {@code udp-PORT < bytes} it has sent just that datagram next;
  * {@code NAME reads nothing} what was written there has not left; {@code NAME answers watchdogs} as a Diameter peer that is well; {@code no dial PORT}; {@code wait MS};
- * {@code bus PORT} the configuration is read again and names this port;
+ * {@code bus PORT} the configuration is read again and names this port; {@code file PORT} its file names this port from
+ * now on, or can't be used any more where it is {@code spoilt}, and nobody says so; {@code looked N} so often was the file looked at;
  * {@code lag MS} what comes next has waited so long for an own stall. Before each input and wait, all that the program wrote must have been named.
  */
 final class Stage implements Scheduler, Dialer, Datagrams {
@@ -109,6 +111,9 @@
     private Instant now = Instant.parse("2026-01-01T00:00:00Z");
     private long order;
     private Duration lag = Duration.ZERO;
+    /** What the configuration's file has changed to, if it has. */
+    private String file;
+    private int looks;
     private String at = "the start";
 
     Stage(boolean diameter, String config) {
@@ -129,14 +134,24 @@
             }
         } else {
             NodeConfig parsed = NodeConfig.parse(config);
-            PlatformFront front = new PlatformFront(parsed, this, this, () -> true);
+            PlatformFront front = new PlatformFront(parsed, this, this, () -> true, () -> {
+                Optional<String> changed = Optional.ofNullable(file);
+                file = null;
+                looks++;
+                return changed.map(port -> NodeConfig.parse(at(config, port)));
+            });
             callers = front::accept;
             controller = front.controller();
             admission = new Admission(parsed.callers().connections());
-            busMoves = port -> front.reload(NodeConfig.parse(config.replaceAll("(\"bus\": \".*?:)\\d+", "$1" + port)));
+            busMoves = port -> front.reload(NodeConfig.parse(at(config, port)));
         }
     }
 
+    /** The configuration with the bus at this port. */
+    private static String at(String config, String port) {
+        return config.replaceAll("(\"bus\": \".*?:)\\d+", "$1" + port);
+    }
+
     void play(Iterable<String> script) {
         int number = 0;
         for (String raw : script) {
@@ -165,6 +180,10 @@
         } else if (words[0].equals("bus")) {
             nothingUnnamed();
             busMoves.accept(words[1]);
+        } else if (words[0].equals("file")) {
+            file = words[1];
+        } else if (words[0].equals("looked")) {
+            assertEquals(Integer.parseInt(words[1]), looks, at);
         } else if (words[0].equals("open")) {
             nothingUnnamed();
             Protocol protocol = callers.get();
--- a/grpc/src/test/java/pathlane/grpc/SharedColdTest.java
+++ b/grpc/src/test/java/pathlane/grpc/SharedColdTest.java
@@ -11,6 +11,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -227,6 +228,6 @@
             server.opened(down);
             protocol.opened(up);
         });
-        return new PlatformFront(config, dialer, field.time, () -> true).controller();
+        return new PlatformFront(config, dialer, field.time, () -> true, Optional::empty).controller();
     }
 }
--- a/wire/src/main/java/pathlane/bus/BusFeed.java
+++ b/wire/src/main/java/pathlane/bus/BusFeed.java
@@ -5,6 +5,7 @@
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
 import java.time.Duration;
+import java.time.Instant;
 import java.util.List;
 import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
@@ -34,6 +35,10 @@
     private static final Duration DIAL_TIMEOUT = Duration.ofMillis(500);
     /** Half of it at the least, so that a fleet which lost the bus at once does not come back at once. */
     private static final Duration REDIAL = Duration.ofMillis(200);
+    /** While the bus can't be reached, whether it is to be found elsewhere is asked at this pace. */
+    private static final Duration LOOK_ELSEWHERE = Duration.ofSeconds(1);
+    /** It says something each second, up to a third of 24 ms late by the platform's figures; twice that is left. */
+    private static final Duration CURRENT = Duration.ofMillis(1020);
     /** The bus says something each second; an event counts as told 7 s on, whether it arrived or not. */
     private static final Duration MOST_SILENCE = Duration.ofMillis(2500);
 
@@ -47,6 +52,10 @@
     private final Scheduler scheduler;
     private final SplittableRandom random;
     private final Consumer<ServerList> events;
+    private final Runnable unreachable;
+    private Instant lookedElsewhere = Instant.MIN;
+    /** When the bus last said something whole. */
+    private Instant heard = Instant.MIN;
     private InetSocketAddress bus;
     private long last;
     private boolean wasUp;
@@ -56,9 +65,16 @@
     private Session session;
     private final CompletableFuture<Void> current = new CompletableFuture<>();
 
-    /** {@code last} is the number of the last event that is known. */
+    /**
+     * Starts to follow nothing yet.
+     *
+     * @param last the number of the last event that is known
+     * @param unreachable run on the loop, once a second at the most, while the bus is dialled in vain; it may call
+     *                    {@link #follow}
+     */
     public BusFeed(long last, Dialer dialer, Scheduler scheduler, SplittableRandom random,
-                   Consumer<ServerList> events) {
+                   Consumer<ServerList> events, Runnable unreachable) {
+        this.unreachable = unreachable;
         this.last = last;
         this.dialer = dialer;
         this.scheduler = scheduler;
@@ -85,11 +101,24 @@
         return current;
     }
 
+    /** Whether the bus was heard so lately that it would have told of a change; always where none is followed. */
+    public boolean isCurrent() {
+        return bus == null || !heard.plus(CURRENT).isBefore(scheduler.now());
+    }
+
     private void dial() {
         session = new Session();
         dialer.dial(bus, DIAL_TIMEOUT, session);
     }
 
+    private void lookElsewhere() {
+        Instant now = scheduler.now();
+        if (!now.isBefore(lookedElsewhere)) {
+            lookedElsewhere = now.plus(LOOK_ELSEWHERE);
+            unreachable.run();
+        }
+    }
+
     private final class Session implements Protocol {
 
         private final FrameAssembler assembler = new FrameAssembler(LENGTH_BYTES, HEAD, LONGEST);
@@ -108,8 +137,10 @@
             LOG.log(Level.INFO, "event bus is up, from event {0}", Long.toString(last));
             up.write(ByteBuffer.allocate(Long.BYTES).putLong(last).array());
             await();
+            Instant openedAt = scheduler.now();
             scheduler.after(CATCH_UP, () -> {
                 if (session == this && !ended) {
+                    heard = heard.isAfter(openedAt) ? heard : openedAt;
                     current.complete(null);
                 }
             });
@@ -124,6 +155,7 @@
         public void received(ByteBuffer bytes) {
             try {
                 if (assembler.feed(bytes, this::frame) > 0) {
+                    heard = scheduler.now();
                     silence.cancel();   // a whole event came: half of one that then stops is silence too
                     await();
                 }
@@ -189,6 +221,12 @@
                 LOG.log(Level.WARNING, "event bus is down: {0}; dialling again", end);
             }
             wasUp = false;
+            if (connection == null) {
+                lookElsewhere();
+            }
+            if (session != this) {
+                return;   // it is followed elsewhere now
+            }
             long half = REDIAL.toNanos() / 2;
             scheduler.after(Duration.ofNanos(half + random.nextLong(half)), () -> {
                 if (session == this) {
