--- a/core/src/main/java/pathlane/core/CallController.java
+++ b/core/src/main/java/pathlane/core/CallController.java
@@ -1,23 +1,17 @@
 package pathlane.core;
 
-import java.lang.System.Logger;
-import java.lang.System.Logger.Level;
 import java.time.Duration;
 import java.time.Instant;
-import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.HashMap;
 import java.util.HashSet;
-import java.util.Iterator;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.function.Consumer;
 import java.util.function.Function;
-import java.util.function.Predicate;
 import pathlane.config.Millis;
 import pathlane.config.Settings;
 import pathlane.core.Counters.Name;
@@ -37,21 +31,8 @@
     /** Makes the way to a server when the list first names it. */
     public interface ServerPorts extends Function<ServerLine, ServerPort> { }
 
-    /** A line for each step in the life of each call, where a level of FINE is asked for. */
-    private static final Logger TRACE = System.getLogger("calls");
-
     /** Added to the rule's wait after a give-up: the give-up may reach its server later than the resend. */
     private static final Duration CLEAR_MARGIN = Duration.ofMillis(15);
-    /** From so long an own stall on, what the bus has told meanwhile is read before anything is decided. */
-    private static final Duration STALLED = Duration.ofMillis(50);
-    /** Decisions in a row, before the connections are looked at again. */
-    private static final Duration MOST_AT_ONCE = Duration.ofMillis(50);
-    /** What is over is remembered for so long: what a server or caller still says of it concerns nobody. */
-    private static final Duration OVER_MEMORY = Duration.ofSeconds(60);
-
-    /** The most that is remembered of calls that are over, and of releases that found no caller. */
-    private static final int MOST_REMEMBERED = 10_000;
-
     private final Settings settings;
     private final Scheduler scheduler;
     private final ServerPorts ports;
@@ -59,28 +40,12 @@
     private final Counters counters = new Counters();
     private final Map<String, Call> calls = new HashMap<>();
     private final Map<Long, Server> servers = new TreeMap<>();
-    private final Map<String, Instant> over = new LinkedHashMap<>();
-    private final Map<CallerPort, Held> callers = new LinkedHashMap<>();
-    private final Map<String, Unrelayed> unrelayed = new LinkedHashMap<>();
-    private final ArrayDeque<Runnable> deferred = new ArrayDeque<>();
-    private boolean inModule;
-    /** What waits for the module has its turn once the connections have been looked at. */
-    private boolean putOff;
-    /** The time of the module's last event: a bell may be rung a grain before its time, and counts as on time. */
-    private double moduleTime;
+    private final Callers callers;
+    private final Cover cover;
+    private final Turns turns;
+    private final Departed gone = new Departed();
     private static final byte[] NOTHING = {};
 
-    /** What a caller's connection has in calls. */
-    private static final class Held {
-        int open;
-        int standing;
-        /** Whether a call of its ever stood. */
-        boolean served;
-    }
-
-    /** A release that found no connection to its caller. */
-    private record Unrelayed(CallerPort own, Ending how, Instant at) { }
-
     private static final class Server {
         final ServerPort port;
         ServerLine line;
@@ -106,6 +71,8 @@
         Scheduler.Timer patience;
         boolean standing;
         boolean mayHaveRun;
+        /** Set up by another controller: the module never heard of it. */
+        boolean adopted;
 
         Call(SetUp asked, Instant deadline, CallerPort caller) {
             this.asked = asked;
@@ -114,7 +81,16 @@
         }
     }
 
+    /** One that is in no group. */
     public CallController(Settings settings, long seed, Scheduler scheduler, ServerPorts ports) {
+        this(settings, seed, scheduler, ports, Cover.NONE);
+    }
+
+    /** {@code cover} keeps what another controller would need. */
+    public CallController(Settings settings, long seed, Scheduler scheduler, ServerPorts ports, Cover cover) {
+        this.cover = cover;
+        this.callers = new Callers(scheduler);
+        this.turns = new Turns(scheduler);
         this.settings = settings.withClearWait(settings.rules().clearWait().plus(CLEAR_MARGIN));
         this.scheduler = scheduler;
         this.ports = ports;
@@ -143,20 +119,12 @@
 
     /** A caller can be reached; what found none to go to goes there. */
     public void callerOpened(CallerPort caller) {
-        callers.put(caller, new Held());
-        unrelayed.entrySet().removeIf(waiting -> {
-            boolean reached = caller.reaches(waiting.getValue().own());
-            if (reached) {
-                caller.release(waiting.getKey(), waiting.getValue().how());
-            }
-            return reached;
-        });
+        callers.opened(caller, cover::over);
     }
 
     /** A caller's connection has ended: its open set-ups are given up; calls that stand are tied to none. */
     public void callerClosed(CallerPort caller) {
-        Held held = callers.remove(caller);
-        if (held != null && held.open > 0) {
+        if (callers.closed(caller).open > 0) {
             List<Call> left = calls.values().stream().filter(c -> c.caller == caller && !c.standing).toList();
             left.forEach(this::leave);
         }
@@ -164,7 +132,7 @@
 
     /** Set-ups of a caller's connection that wait for their final answer. */
     public int openOn(CallerPort caller) {
-        return callers.containsKey(caller) ? callers.get(caller).open : 0;
+        return callers.held(caller).open;
     }
 
     /** Whether this call waits for its final answer, and it goes to this caller. */
@@ -175,12 +143,12 @@
 
     /** Calls that stand and were set up on a caller's connection. */
     public int standingOn(CallerPort caller) {
-        return callers.containsKey(caller) ? callers.get(caller).standing : 0;
+        return callers.held(caller).standing;
     }
 
     /** Whether a call of this caller's connection ever stood. */
     public boolean served(CallerPort caller) {
-        return callers.containsKey(caller) && callers.get(caller).served;
+        return callers.held(caller).served;
     }
 
     /**
@@ -197,15 +165,27 @@
         Duration left = setUp.patience().minus(scheduler.lag());
         Call call = new Call(setUp, now.plus(left), caller);
         calls.put(setUp.id(), call);
-        trace(setUp.id(), "taken, answer due in {0} ms, lag {1} ms", left, scheduler.lag());
-        held(caller).open++;
+        CallTrace.step(setUp.id(), "taken, answer due in {0} ms, lag {1} ms", left, scheduler.lag());
+        callers.held(caller).open++;
         // Guards rule one whatever the module does: at the deadline an open call is answered.
         call.guard = scheduler.after(left, () -> answerOverdue(call));
-        tell(at -> module.arrived(at, new Gateway.Call(setUp.id(), setUp.callClass(), setUp.number(),
-                Millis.of(Duration.between(scheduler.now(), call.deadline)), setUp.firstChoice(), false)));
+        Duration heldBack = cover.heldBack(setUp.id());
+        if (heldBack.isZero()) {
+            arrived(call);
+        } else {
+            scheduler.after(heldBack, () -> arrived(call));
+        }
         return true;
     }
 
+    private void arrived(Call call) {
+        SetUp asked = call.asked;
+        if (calls.get(asked.id()) == call) {
+            turns.tell(at -> module.arrived(at, new Gateway.Call(asked.id(), asked.callClass(), asked.number(),
+                    Millis.of(Duration.between(scheduler.now(), call.deadline)), asked.firstChoice(), false)));
+        }
+    }
+
     /**
      * The same set-up comes once more from the same caller over another connection; its answer goes there from now
      * on. False where it is not the same, or not open.
@@ -216,23 +196,17 @@
                 || !Arrays.equals(call.asked.description(), again.description())) {
             return false;
         }
-        held(call.caller).open--;
-        held(caller).open++;
+        callers.held(call.caller).open--;
+        callers.held(caller).open++;
         call.caller.takenOver(again.id());
         call.caller = caller;
         return true;
     }
 
-    /** What the connection of a caller has; one that has ended counts for nothing. */
-    private Held held(CallerPort caller) {
-        Held held = callers.get(caller);
-        return held == null ? new Held() : held;
-    }
-
     private void answerOverdue(Call call) {
         if (calls.get(call.asked.id()) == call && !call.standing) {
             counters.count(Name.GUARD_ANSWERED);
-            trace(call.asked.id(), "overdue by {0} ms, refused by the guard",
+            CallTrace.step(call.asked.id(), "overdue by {0} ms, refused by the guard",
                     Duration.between(call.deadline, scheduler.now()));
             CallerPort caller = call.caller;
             leave(call);
@@ -246,20 +220,44 @@
      */
     public boolean callerReleased(String id, byte[] content, CallerPort from) {
         Call call = calls.get(id);
-        if (call == null || (call.standing ? !from.reaches(call.caller) : call.caller != from)) {
+        if (call == null) {
+            return !callers.isOver(id) && cover.seesTo(new CallEvent.Released(id, content));
+        }
+        if (call.standing ? !from.reaches(call.caller) : call.caller != from) {
             return false;
         }
         if (call.standing) {
-            counters.count(Name.RELEASED_BY_CALLER);
-            remove(call);
-            call.server.port.release(id, Ending.COMPLETED, content);
-            report(call, Ending.CANCELLED, true);
+            releaseStanding(call, content);
         } else {
             leave(call);
         }
         return true;
     }
 
+    private void releaseStanding(Call call, byte[] content) {
+        String id = call.asked.id();
+        if (!cover.mayAct(id)) {
+            cover.park(new CallEvent.Released(id, content));
+            return;
+        }
+        counters.count(Name.RELEASED_BY_CALLER);
+        remove(call);
+        releaseAt(call.server, id, content);
+        report(call, Ending.CANCELLED, true);
+    }
+
+    private void releaseAt(Server server, String id, byte[] content) {
+        server.port.release(id, Ending.COMPLETED, content);
+        if (server.port.keepsWaiting(id)) {
+            cover.owesServer(id, server.line.id());
+        }
+    }
+
+    /** A release that waited for a connection to its server has left. */
+    public void releaseLeft(String id) {
+        cover.over(id);
+    }
+
     /** Whether a call stands. */
     public boolean stands(String id) {
         Call call = calls.get(id);
@@ -268,19 +266,19 @@
 
     /** A caller has something for the server of a call that stands; false where it can't be passed on now. */
     public boolean pass(String id, byte[] content) {
-        return stands(id) && calls.get(id).server.port.pass(id, content);
+        return stands(id) && cover.mayAct(id) && calls.get(id).server.port.pass(id, content);
     }
 
     /** A server answered what was passed on. */
     public void passedBack(long serverId, String id, byte[] content) {
-        if (stands(id) && calls.get(id).server == servers.get(serverId)) {
+        if (stands(id) && calls.get(id).server == servers.get(serverId) && cover.mayAct(id)) {
             calls.get(id).caller.passBack(id, content);
         }
     }
 
     /** A caller releases a call that is not known: one from before this program's start, at whichever server. */
     public void releaseEverywhere(String id) {
-        if (!over.containsKey(id) && !calls.containsKey(id)) {
+        if (!callers.isOver(id) && !calls.containsKey(id)) {
             servers.values().stream().filter(server -> server.line.mode() != Mode.GONE)
                     .forEach(server -> server.port.releaseUnknown(id));
         }
@@ -288,11 +286,11 @@
 
     /** The caller no longer waits: no answer is owed, and an attempt that is out is given up. */
     private void leave(Call call) {
-        trace(call.asked.id(), "left by its caller");
+        CallTrace.step(call.asked.id(), "left by its caller");
         counters.count(Name.GIVEN_UP_BY_CALLER);
         call.guard.cancel();
         remove(call);
-        tell(at -> module.left(at, call.asked.id()));
+        turns.tell(at -> module.left(at, call.asked.id()));
         if (call.server != null) {
             giveUpAttempt(call);
             report(call, Ending.CANCELLED, true);
@@ -315,18 +313,19 @@
             return;
         }
         counters.count(Name.STOOD);
-        trace(id, "stands at {0} after {1} ms", serverId, Duration.between(call.sentAt, scheduler.now()));
+        CallTrace.step(id, "stands at {0} after {1} ms", serverId, Duration.between(call.sentAt, scheduler.now()));
         call.patience.cancel();
         call.guard.cancel();
         call.standing = true;
         server.standing++;
-        Held held = held(call.caller);
+        Callers.Held held = callers.held(call.caller);
         held.open--;
         held.standing++;
         held.served = true;
-        call.caller.answer(id, description);
+        cover.stands(id, serverId, call.caller);
+        cover.answer(id, call.asked.callClass(), () -> call.caller.answer(id, description));
         double waited = Millis.of(Duration.between(call.sentAt, scheduler.now()));
-        tell(at -> module.stands(at, id, call.attempts - 1, serverId, waited));
+        turns.tell(at -> module.stands(at, id, call.attempts - 1, serverId, waited));
     }
 
     /** A server released a call, before or after its answer; or its connection ended under a set-up. */
@@ -334,10 +333,9 @@
         Call call = calls.get(id);
         Server server = servers.get(serverId);
         if (call == null) {
-            if (!over.containsKey(id)) {
-                // A call from before this program's start: any caller's connection will do.
-                counters.count(Name.RELAYED_UNKNOWN);
-                relay(null, id, how);
+            CallEvent.Ended event = new CallEvent.Ended(id, how);
+            if (!callers.isOver(id) && !cover.seesTo(event)) {
+                unowned(event);
             }
         } else if (server != null && call.server == server && call.standing) {
             finishStanding(call, how == Ending.COMPLETED ? how : Ending.RESET);
@@ -347,10 +345,83 @@
         }
     }
 
+    /** Something happened to a call that nobody acts on: one from before this program's start. */
+    public void unowned(CallEvent event) {
+        if (event instanceof CallEvent.Ended ended) {
+            counters.count(Name.RELAYED_UNKNOWN);
+            relay(null, ended.call(), ended.how());   // any caller's connection will do
+        } else {
+            releaseEverywhere(event.call());
+        }
+    }
+
+    /** Something happened to a call, and this controller acts on it: it heard of it late, or by another one. */
+    public void happened(CallEvent event) {
+        Call call = calls.get(event.call());
+        if (call != null && call.standing) {
+            if (event instanceof CallEvent.Released released) {
+                releaseStanding(call, released.content());
+            } else {
+                finishStanding(call, ((CallEvent.Ended) event).how());
+            }
+        }
+    }
+
+    // ---- from another controller of the group
+
+    /** Goes on with a call that stands at a server; false where the list does not name the server. */
+    public boolean adopt(String id, long serverId, CallerPort caller) {
+        Server server = servers.get(serverId);
+        if (calls.containsKey(id) || server == null || server.line.mode() == Mode.GONE) {
+            return calls.containsKey(id);
+        }
+        Call call = new Call(new SetUp(id, -1, "", Duration.ZERO, -1, NOTHING), scheduler.now(), caller);
+        call.adopted = true;
+        call.standing = true;
+        call.server = server;
+        server.standing++;
+        calls.put(id, call);
+        counters.count(Name.ADOPTED);
+        CallTrace.step(id, "adopted at {0}", serverId);
+        cover.stands(id, serverId, caller);
+        server.port.adopted(id);
+        return true;
+    }
+
+    /** Another controller acts on this call from now on. */
+    public void disown(String id) {
+        Call call = calls.get(id);
+        if (call != null && call.standing) {
+            CallTrace.step(id, "disowned");
+            counters.count(Name.DISOWNED);
+            takeOff(call);
+        }
+        callers.forget(id);
+    }
+
+    /** A call's end is owed to its caller by a controller that is gone. */
+    public void owedToCaller(String id, CallerPort caller, Ending how) {
+        callers.over(id);
+        relay(caller, id, how);
+    }
+
+    /** Whether the list had this server, and it has gone. */
+    public boolean hasGone(long serverId) {
+        return gone.contains(serverId);
+    }
+
+    /** A call's release is owed to its server by a controller that is gone. */
+    public void owedToServer(String id, long serverId) {
+        Server server = servers.get(serverId);
+        if (server != null) {
+            releaseAt(server, id, NOTHING);
+        }
+    }
+
     /** A server told of its free lines and of all its lines. */
     public void linesTold(long serverId, double free, double size) {
         if (servers.containsKey(serverId)) {
-            tell(at -> module.reported(at, serverId, new Gateway.Report(free, size, Double.NaN, Double.NaN,
+            turns.tell(at -> module.reported(at, serverId, new Gateway.Report(free, size, Double.NaN, Double.NaN,
                     Double.NaN, Double.NaN)));
         }
     }
@@ -378,28 +449,20 @@
     }
 
     private void finishStanding(Call call, Ending how) {
+        String id = call.asked.id();
+        if (!cover.mayAct(id)) {
+            cover.park(new CallEvent.Ended(id, how));
+            return;
+        }
         counters.count(how == Ending.COMPLETED ? Name.RELEASED_BY_SERVER : Name.CUT);
         remove(call);
-        relay(call.caller, call.asked.id(), how);
+        relay(call.caller, id, how);
         report(call, how, true);
     }
 
-    /** Releases towards the call's own connection, else the latest on which calls stood, else any, else the next. */
     private void relay(CallerPort own, String id, Ending how) {
-        CallerPort way = callers.containsKey(own) ? own : null;
-        if (way == null) {
-            List<CallerPort> reaching = callers.keySet().stream().filter(caller -> caller.reaches(own)).toList();
-            // Guards releases against connections that were opened and never used: nobody may be listening there.
-            way = reaching.stream().filter(this::served).reduce((a, b) -> b)
-                    .or(() -> reaching.stream().reduce((a, b) -> b)).orElse(null);
-        }
-        if (way != null) {
-            way.release(id, how);
-        } else {
-            Instant now = scheduler.now();
-            unrelayed.put(id, new Unrelayed(own, how, now));
-            forget(unrelayed.values().iterator(), waiting -> waiting.at().plus(OVER_MEMORY).isBefore(now),
-                    unrelayed.size());
+        if (!callers.relay(own, id, how)) {
+            cover.owesCaller(id, own, how);
         }
     }
 
@@ -421,9 +484,7 @@
                     line.startedAt().equals(Instant.EPOCH) ? 0 : Millis.of(line.startedAt()), line.weight()));
             change(line, consequences);
         }
-        // Ahead of what was put off: that is decided by what the list says now.
-        deferred.addFirst(() -> module.listed(timeOfModule(), whole, told));
-        handOver();
+        turns.tellFirst(at -> module.listed(at, whole, told));
         consequences.forEach(Runnable::run);
     }
 
@@ -462,63 +523,13 @@
         consequences.add(() -> {
             server.port.close();
             cutAll(server);
+            gone.add(line.id());
             servers.remove(line.id(), server);   // servers come under new ids: those that have gone are not kept
         });
     }
 
     // ---- the module
 
-    /** Hands the module an event; what its actions bring about is handed over after it, never within. */
-    private void tell(Consumer<Double> event) {
-        deferred.add(() -> event.accept(timeOfModule()));
-        handOver();
-    }
-
-    /**
-     * Guards rule three after an own stall: the callers' set-ups and the news of the bus have waited side by side, and
-     * a set-up that is decided first goes where the news forbids it. So nothing is decided before the loop has read
-     * all that waited.
-     */
-    private void handOver() {
-        if (inModule || putOff) {
-            return;
-        }
-        if (scheduler.lag().compareTo(STALLED) > 0) {
-            putOff();
-        } else {
-            decide();
-        }
-    }
-
-    private double timeOfModule() {
-        moduleTime = Math.max(moduleTime, Millis.of(scheduler.now()));
-        return moduleTime;
-    }
-
-    private void putOff() {
-        putOff = true;
-        scheduler.after(Duration.ZERO, () -> {
-            putOff = false;
-            decide();
-        });
-    }
-
-    private void decide() {
-        Instant until = scheduler.now().plus(MOST_AT_ONCE);
-        inModule = true;
-        try {
-            for (Runnable next = deferred.poll(); next != null; next = deferred.poll()) {
-                next.run();
-                if (!deferred.isEmpty() && scheduler.now().isAfter(until)) {
-                    putOff();
-                    return;
-                }
-            }
-        } finally {
-            inModule = false;
-        }
-    }
-
     /** Tells the module how the call's attempt ended; the call is then free for another. */
     private void report(Call call, Ending how, boolean closed) {
         report(call, how, closed, Duration.ZERO);
@@ -527,7 +538,10 @@
     private void report(Call call, Ending how, boolean closed, Duration statedWait) {
         Server server = call.server;
         call.server = null;
-        trace(call.asked.id(), "attempt at {0} ended: {1}", server.line.id(), how);
+        if (call.adopted) {
+            return;
+        }
+        CallTrace.step(call.asked.id(), "attempt at {0} ended: {1}", server.line.id(), how);
         if (!call.standing) {
             counters.count(switch (how) {
                 case TIMED_OUT -> Name.ATTEMPTS_TIMED_OUT;
@@ -543,9 +557,13 @@
         if (how == Ending.TIMED_OUT || how == Ending.RESET || how == Ending.CANCELLED) {
             call.notBefore = scheduler.now().plus(settings.rules().clearWait().minus(CLEAR_MARGIN));
         }
+        if (!closed && !call.standing) {
+            Duration wait = Duration.between(scheduler.now(), call.notBefore);
+            cover.attemptOver(call.asked.id(), server.line.id(), wait.isNegative() ? Duration.ZERO : wait, call.caller);
+        }
         double waited = Millis.of(Duration.between(call.sentAt, scheduler.now()));
         int attempt = call.attempts - 1;
-        tell(at -> module.ended(at, new Gateway.Ended(call.asked.id(), attempt, server.line.id(), how, closed,
+        turns.tell(at -> module.ended(at, new Gateway.Ended(call.asked.id(), attempt, server.line.id(), how, closed,
                 waited, Millis.of(statedWait), null)));
     }
 
@@ -556,37 +574,24 @@
 
     /** Takes a call off the table; it is remembered as over for a while. */
     private void remove(Call call) {
+        takeOff(call);
+        callers.over(call.asked.id());
+        cover.over(call.asked.id());
+    }
+
+    private void takeOff(Call call) {
         calls.remove(call.asked.id());
-        Held held = held(call.caller);
+        Callers.Held held = callers.held(call.caller);
         held.open -= call.standing ? 0 : 1;
         held.standing -= call.standing ? 1 : 0;
         if (call.standing) {
             call.server.standing--;
         }
-        Instant now = scheduler.now();
-        over.put(call.asked.id(), now);
-        forget(over.values().iterator(), at -> at.plus(OVER_MEMORY).isBefore(now), over.size());
-    }
-
-    /** Guards memory against days of any length and callers of any number: the oldest go first. */
-    private static <T> void forget(Iterator<T> oldestFirst, Predicate<T> stale, int size) {
-        for (int left = size; left > 0 && (stale.test(oldestFirst.next()) || left > MOST_REMEMBERED); left--) {
-            oldestFirst.remove();
-        }
-    }
-
-    private static void trace(String id, String text, Object... values) {
-        if (TRACE.isLoggable(Level.DEBUG)) {
-            Object[] plain = Arrays.stream(values).map(value -> value instanceof Duration span
-                    ? Long.toString(span.toMillis()) : value instanceof Long server ? Long.toHexString(server) : value)
-                    .toArray();
-            TRACE.log(Level.DEBUG, "call " + id + ": " + text, plain);
-        }
     }
 
     /** How much is kept, of whatever kind: it must not grow with the length of the day. */
     public int kept() {
-        return calls.size() + servers.size() + over.size() + callers.size() + unrelayed.size();
+        return calls.size() + servers.size() + callers.kept();
     }
 
     /** Carries out what the module asks for. */
@@ -607,17 +612,18 @@
                     || attempt >= settings.maxAttempts() || server == null
                     || server.line.mode() != Mode.RUNNING) {
                 counters.count(Name.GUARD_NOT_SENT);
-                tell(at -> module.ended(at, new Gateway.Ended(id, attempt, serverId, Ending.NOT_SENT, false, 0,
+                turns.tell(at -> module.ended(at, new Gateway.Ended(id, attempt, serverId, Ending.NOT_SENT, false, 0,
                         0, null)));
                 return;
             }
             counters.count(Name.ATTEMPTS);
-            trace(id, "sent to {0}", serverId);
+            CallTrace.step(id, "sent to {0}", serverId);
             Duration left = Duration.between(now, call.deadline);
             Duration patience = giveUpAfterMs > 0 ? Millis.span(giveUpAfterMs) : left;
             patience = patience.compareTo(left) < 0 ? patience : left;
             call.server = server;
             call.sentAt = now;
+            cover.sent(id, serverId, patience, call.caller);
             call.patience = scheduler.after(patience, () -> timedOut(call, attempt));
             server.port.setUp(call.asked, patience, call.mayHaveRun);
         }
@@ -644,7 +650,7 @@
             Call call = calls.get(id);
             if (call != null && !call.standing) {
                 counters.count(counted);
-                trace(id, "final answer: {0}", counted);
+                CallTrace.step(id, "final answer: {0}", counted);
                 call.guard.cancel();
                 if (call.server != null) {
                     giveUpAttempt(call);
@@ -665,13 +671,7 @@
 
         @Override
         public void wakeAfter(double delayMs) {
-            // Guards against a timer that is early by the clock's grain: the module would take it for another bell,
-            // and wait for one that never comes.
-            double due = moduleTime + delayMs;
-            scheduler.after(Millis.span(delayMs), () -> tell(at -> {
-                moduleTime = Math.max(at, due);
-                module.woken(moduleTime);
-            }));
+            turns.wake(delayMs, module::woken);
         }
 
         @Override
--- a/core/src/main/java/pathlane/core/CallerPort.java
+++ b/core/src/main/java/pathlane/core/CallerPort.java
@@ -24,6 +24,11 @@
     /** The answer to a set-up goes to another connection of the same caller from now on. */
     default void takenOver(String call) { }
 
+    /** By what name its callers are known to other controllers too; empty where any connection reaches them. */
+    default String key() {
+        return "";
+    }
+
     /** Whether this is a way to the callers of another port, or, for null, of one that isn't known. */
     default boolean reaches(CallerPort other) {
         return true;
--- a/core/src/main/java/pathlane/core/ServerPort.java
+++ b/core/src/main/java/pathlane/core/ServerPort.java
@@ -30,6 +30,14 @@
         return false;
     }
 
+    /** Whether the release of a call waits here for a connection; {@link CallController#releaseLeft} is told when it leaves. */
+    default boolean keepsWaiting(String call) {
+        return false;
+    }
+
+    /** A call stands there that another controller set up: what ends it is to be heard here from now on. */
+    default void adopted(String call) { }
+
     /** The server takes nothing new: what has not left yet comes back, what runs goes on. */
     void drain();
 
--- a/daemon/src/main/java/pathlane/Main.java
+++ b/daemon/src/main/java/pathlane/Main.java
@@ -6,6 +6,7 @@
 import java.io.OutputStream;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
+import java.util.Optional;
 import java.util.logging.Handler;
 import java.util.logging.Level;
 import java.util.logging.LogManager;
@@ -21,20 +22,24 @@
     /**
      * Runs one of the three.
      *
-     * @param args {@code serve}, {@code diameter} and a file, or {@code simhost}
+     * @param args {@code serve}, {@code diameter} and a file, either with {@code --group} and a file behind, or
+     *             {@code simhost}
      */
     public static void main(String[] args) {
-        String what = String.join(" ", args);
+        // A group's file may follow: --group FILE.
+        int own = args.length >= 3 && args[args.length - 2].equals("--group") ? args.length - 2 : args.length;
+        Optional<Path> group = own < args.length ? Optional.of(Path.of(args[own + 1])) : Optional.empty();
+        String what = own == 2 ? args[0] + " FILE" : own == 1 ? args[0] : "";
         try {
-            switch (args.length == 2 ? args[0] + " FILE" : what) {
-                case "serve" -> serve(HangUp.minded());
+            switch (group.isPresent() && what.equals("simhost") ? "" : what) {
+                case "serve" -> serve(group, HangUp.minded());
                 case "diameter FILE" -> {
                     logPlainly();
-                    Node.startDiameter(Path.of(args[1]), HangUp.minded());
+                    Node.startDiameter(Path.of(args[1]), group, HangUp.minded());
                 }
                 case "simhost" -> simulate();
                 default -> {
-                    System.err.println("usage: java -jar pathlane.jar serve | diameter FILE | simhost");
+                    System.err.println("usage: java -jar pathlane.jar serve [--group FILE] | diameter FILE [--group FILE] | simhost");
                     System.exit(2);
                 }
             }
@@ -57,13 +62,13 @@
         }
     }
 
-    private static void serve(HangUp hangUp) {
+    private static void serve(Optional<Path> group, HangUp hangUp) {
         logPlainly();
         String file = System.getenv("RELAY_CONFIG");
         if (file == null) {
             throw new IllegalArgumentException("RELAY_CONFIG does not name a configuration");
         }
-        Node.startPlatform(Path.of(file), hangUp);
+        Node.startPlatform(Path.of(file), group, hangUp);
     }
 
     private static void simulate() throws IOException {
--- a/daemon/src/main/java/pathlane/Node.java
+++ b/daemon/src/main/java/pathlane/Node.java
@@ -6,6 +6,7 @@
 import java.nio.file.Path;
 import java.time.Duration;
 import java.time.Instant;
+import java.util.Optional;
 import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
@@ -18,7 +19,9 @@
 import pathlane.config.file.ConfigFile;
 import pathlane.config.file.DiameterConfig;
 import pathlane.config.file.NodeConfig;
+import pathlane.config.Settings;
 import pathlane.core.CallController;
+import pathlane.core.Cover;
 import pathlane.diameter.DiameterFront;
 import pathlane.link.Protocol;
 import pathlane.metrics.CollectdReporter;
@@ -26,6 +29,8 @@
 import pathlane.net.EventLoop;
 import pathlane.net.Network;
 import pathlane.platform.PlatformFront;
+import pathlane.takeover.GroupFile;
+import pathlane.takeover.GroupNode;
 
 /** One real call controller: puts the parts together and sees to an orderly end. */
 final class Node {
@@ -40,7 +45,7 @@
     /** A front: who decides its calls, what meets its callers, and how it parts from its peers at the end, and what it
      * does when its configuration is to be read again. */
     private record Front(CallController controller, Supplier<Protocol> callers, CallerLimits limits, Runnable part,
-                         Runnable reload, Future<Void> current) { }
+                         Runnable reload, Future<Void> current, Optional<GroupNode> group) { }
 
     private final EventLoop loop = new EventLoop();
     private final Network network = new Network(loop);
@@ -49,25 +54,28 @@
     private volatile boolean ending;
 
     /** Starts a call controller on the platform; it serves until the process is asked to end. */
-    static void startPlatform(Path file, HangUp hangUp) {
+    static void startPlatform(Path file, Optional<Path> groupFile, HangUp hangUp) {
         ConfigFile configFile = new ConfigFile(file);
         NodeConfig config = configFile.read();
         Node node = new Node();
         node.serve(config.name(), config.listen(), hangUp, () -> {
+            Optional<GroupNode> group = node.group(groupFile, config.name(), config.settings());
             PlatformFront platform = new PlatformFront(config, node.network, node.loop, () -> !node.ending,
-                    configFile::readIfChanged);
+                    configFile::readIfChanged, cover(group));
             return new Front(platform.controller(), platform::accept, config.callers(), () -> { },
-                    () -> platform.reload(configFile.read()), platform.current());
+                    () -> platform.reload(configFile.read()), platform.current(), group);
         });
     }
 
     /** Starts a call controller for Diameter peers; it serves until the process is asked to end. */
-    static void startDiameter(Path file, HangUp hangUp) {
+    static void startDiameter(Path file, Optional<Path> groupFile, HangUp hangUp) {
         DiameterConfig config = DiameterConfig.read(file);
         Node node = new Node();
         SplittableRandom random = new SplittableRandom();
         node.serve(config.host(), config.listen(), hangUp, () -> {
-            DiameterFront diameter = new DiameterFront(config, random.nextLong(), node.network, node.loop, random);
+            Optional<GroupNode> group = node.group(groupFile, config.host(), config.settings());
+            DiameterFront diameter = new DiameterFront(config, random.nextLong(), node.network, node.loop, random,
+                    cover(group));
             if (config.graphite() != null) {
                 new GraphiteReporter(config.graphite(), diameter.controller().counters(), node.network, node.loop)
                         .start();
@@ -79,10 +87,19 @@
             return new Front(diameter.controller(), diameter::accept, config.callers(),
                     diameter::disconnect, () -> {
                 throw new IllegalArgumentException("the Diameter front reads its file at its start alone");
-            }, CompletableFuture.completedFuture(null));
+            }, CompletableFuture.completedFuture(null), group);
         });
     }
 
+    /** The group's part, where an operator's file switches it on; else none of it is loaded. */
+    private Optional<GroupNode> group(Optional<Path> file, String name, Settings settings) {
+        return file.map(path -> new GroupNode(GroupFile.read(path), name, settings, network, loop));
+    }
+
+    private static Cover cover(Optional<GroupNode> group) {
+        return group.isPresent() ? group.get().cover() : Cover.NONE;
+    }
+
     private void serve(String name, InetSocketAddress listen, HangUp hangUp, Supplier<Front> build) {
         CompletableFuture<Front> built = new CompletableFuture<>();
         loop.execute(() -> {
@@ -96,6 +113,10 @@
         InetSocketAddress bound;
         try {
             await(built.get().current());
+            if (front.group().isPresent()) {
+                front.group().get().listen();
+                loop.execute(() -> front.group().get().start(front.controller()));
+            }
             bound = network.listen(listen, front.callers(), front.limits());
         } catch (ExecutionException e) {
             loop.close();
@@ -126,6 +147,7 @@
 
     /** Reads the configuration again; one that can't be used changes nothing. */
     private void reload() {
+        front.group().ifPresent(GroupNode::reload);
         try {
             front.reload().run();
             LOG.log(Level.INFO, "configuration read again");
@@ -148,13 +170,17 @@
         }
     }
 
+    private void part() {
+        front.part().run();
+        LOG.log(Level.INFO, "ended: {0}", front.controller().counters().line());
+        loop.after(END_CHECK, ended::countDown);   // what was just written leaves first
+    }
+
     private void endWhenAnswered(Instant until) {
         if (loop.now().isBefore(until) || front.controller().openCalls() > 0) {
             loop.after(END_CHECK, () -> endWhenAnswered(until));
         } else {
-            front.part().run();
-            LOG.log(Level.INFO, "ended: {0}", front.controller().counters().line());
-            loop.after(END_CHECK, ended::countDown);   // what was just written leaves first
+            front.group().ifPresentOrElse(group -> group.leave(this::part), this::part);
         }
     }
 }
--- a/daemon/src/main/java/pathlane/diameter/ClientPeer.java
+++ b/daemon/src/main/java/pathlane/diameter/ClientPeer.java
@@ -234,10 +234,15 @@
                 DiameterMessage.CREDIT_CONTROL_APPLICATION, 0, PeerSession.newEndToEnd(scheduler, random), avps), flags, avps);
     }
 
+    @Override
+    public String key() {
+        return session.peer();
+    }
+
     @Override
     public boolean reaches(CallerPort other) {
         // Another client's connection is no way to this one.
-        return other instanceof ClientPeer client && client.session.peer().equals(session.peer());
+        return other != null && other.key().equals(session.peer());
     }
 
     private DiameterMessage answer(DiameterMessage request, int result, Duration comeBackAfter) {
--- a/daemon/src/main/java/pathlane/diameter/DiameterFront.java
+++ b/daemon/src/main/java/pathlane/diameter/DiameterFront.java
@@ -8,6 +8,7 @@
 import java.util.random.RandomGenerator;
 import pathlane.config.file.DiameterConfig;
 import pathlane.core.CallController;
+import pathlane.core.Cover;
 import pathlane.core.Scheduler;
 import pathlane.core.ServerLine;
 import pathlane.decision.Gateway.Mode;
@@ -26,8 +27,15 @@
     private final Map<Long, ServerPeer> servers = new HashMap<>();
     private final List<ClientPeer> clients = new ArrayList<>();
 
+    /** In no group. */
     public DiameterFront(DiameterConfig config, long seed, Dialer dialer, Scheduler scheduler,
                          RandomGenerator random) {
+        this(config, seed, dialer, scheduler, random, Cover.NONE);
+    }
+
+    /** {@code cover} keeps calls elsewhere. */
+    public DiameterFront(DiameterConfig config, long seed, Dialer dialer, Scheduler scheduler,
+                         RandomGenerator random, Cover cover) {
         this.config = config;
         this.scheduler = scheduler;
         this.random = random;
@@ -39,7 +47,7 @@
                     random, available -> list(peer, available));
             servers.put(line.id(), port);
             return port;
-        });
+        }, cover);
         controller.listed(true, config.peers().stream().map(peer -> line(peer, false)).toList());
     }
 
--- a/daemon/src/main/java/pathlane/diameter/ServerPeer.java
+++ b/daemon/src/main/java/pathlane/diameter/ServerPeer.java
@@ -58,6 +58,8 @@
     private final Set<Integer> givenUp = new HashSet<>();
     /** Updates passed on and not answered, by hop-by-hop id: the call that each is for. */
     private final Map<Integer, String> passed = new HashMap<>();
+    /** Sessions that another controller of the group began here. */
+    private final Set<String> adopted = new HashSet<>();
     private PeerSession session;
 
     ServerPeer(DiameterConfig.Peer config, LocalNode local, Duration interval, Supplier<CallController> controller,
@@ -124,6 +126,7 @@
     @Override
     public void release(String call, Ending how, byte[] content) {
         DiameterMessage begun = asked.remove(call);
+        adopted.remove(call);
         DiameterMessage end = content.length > 0 ? DiameterMessage.read(ByteBuffer.wrap(content))
                 : begun == null ? null : termination(begun);
         if (end == null) {
@@ -136,6 +139,11 @@
         }
     }
 
+    @Override
+    public void adopted(String call) {
+        adopted.add(call);
+    }
+
     /** Sends what belongs to a session that this peer has; returns its hop-by-hop id. */
     private int sendOn(DiameterMessage request) {
         return sendOn(request, request.flags());
@@ -204,7 +212,7 @@
             throw new Fault(ResultCode.COMMAND_UNSUPPORTED, null, "command " + request.command());
         }
         String call = request.require(Avp.SESSION_ID).text();
-        boolean known = asked.remove(call) != null;
+        boolean known = asked.remove(call) != null | adopted.remove(call);
         from.send(request.answer(known ? ResultCode.SUCCESS : ResultCode.UNKNOWN_SESSION_ID, local, List.of()));
         if (known) {
             controller.get().released(config.id(), call, Ending.RESET, Duration.ZERO);
--- a/daemon/src/main/java/pathlane/net/Network.java
+++ b/daemon/src/main/java/pathlane/net/Network.java
@@ -55,7 +55,18 @@
      * @throws IllegalArgumentException where the address can't be had
      */
     public InetSocketAddress listen(InetSocketAddress address, Supplier<Protocol> protocols, CallerLimits limits) {
-        Admission admission = new Admission(limits.connections());
+        return listen(address, protocols, limits.connections(), limits.unwritten());
+    }
+
+    /**
+     * The same for others than callers.
+     *
+     * @param most connections at once
+     * @param mostUnwritten bytes that may wait to be written on one of them; more closes it
+     */
+    public InetSocketAddress listen(InetSocketAddress address, Supplier<Protocol> protocols, int most,
+                                    long mostUnwritten) {
+        Admission admission = new Admission(most);
         ServerBootstrap server = new ServerBootstrap().group(loop.netty()).channel(NioServerSocketChannel.class)
                 .option(ChannelOption.SO_BACKLOG, BACKLOG).option(ChannelOption.SO_REUSEADDR, true)
                 .childOption(ChannelOption.TCP_NODELAY, true)
@@ -66,7 +77,7 @@
                     @Override
                     protected void initChannel(SocketChannel channel) {
                         Protocol protocol = protocols.get();
-                        Driver driver = new Driver(protocol, limits.unwritten(), limitedLog);
+                        Driver driver = new Driver(protocol, mostUnwritten, limitedLog);
                         if (!admission.admit(protocol, driver::close)) {
                             limitedLog.warn("connection from {0} turned away: {1} are open, all with calls",
                                     channel.remoteAddress(), Integer.toString(admission.size()));
@@ -87,13 +98,22 @@
 
     @Override
     public void dial(InetSocketAddress address, Duration timeout, Protocol protocol) {
+        dial(address, timeout, protocol, MOST_UNWRITTEN);
+    }
+
+    /** A dialer whose connections may have so many bytes waiting to be written. */
+    public Dialer dialer(long mostUnwritten) {
+        return (address, timeout, protocol) -> dial(address, timeout, protocol, mostUnwritten);
+    }
+
+    private void dial(InetSocketAddress address, Duration timeout, Protocol protocol, long mostUnwritten) {
         Bootstrap client = new Bootstrap().group(loop.netty()).channel(NioSocketChannel.class)
                 .option(ChannelOption.TCP_NODELAY, true)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) Math.max(1, timeout.toMillis()))
                 .option(ChannelOption.ALLOCATOR, new UnpooledByteBufAllocator(false))
                 .option(ChannelOption.RECVBUF_ALLOCATOR,
                         new AdaptiveRecvByteBufAllocator(FIRST_READ, USUAL_READ, LONGEST_READ))
-                .handler(new Driver(protocol, MOST_UNWRITTEN, limitedLog));
+                .handler(new Driver(protocol, mostUnwritten, limitedLog));
         loop.execute(() -> client.connect(address).addListener(done -> {
             if (!done.isSuccess()) {
                 protocol.closed(end(done.cause()));
--- a/daemon/src/main/java/pathlane/platform/PlatformFront.java
+++ b/daemon/src/main/java/pathlane/platform/PlatformFront.java
@@ -13,6 +13,7 @@
 import pathlane.config.file.NodeConfig;
 import pathlane.config.file.ServerLimits;
 import pathlane.core.CallController;
+import pathlane.core.Cover;
 import pathlane.core.Scheduler;
 import pathlane.link.Admission;
 import pathlane.link.Dialer;
@@ -41,6 +42,12 @@
      */
     public PlatformFront(NodeConfig config, Dialer dialer, Scheduler scheduler, BooleanSupplier ready,
                          Supplier<Optional<NodeConfig>> changed) {
+        this(config, dialer, scheduler, ready, changed, Cover.NONE);
+    }
+
+    /** The same with what keeps calls elsewhere. */
+    public PlatformFront(NodeConfig config, Dialer dialer, Scheduler scheduler, BooleanSupplier ready,
+                         Supplier<Optional<NodeConfig>> changed, Cover cover) {
         this.ready = ready;
         this.changed = changed;
         this.limits = config.callers();
@@ -52,7 +59,7 @@
         ServerLink.Common common = new ServerLink.Common(config.settings(), ServerLimits.USUAL, this::controller,
                 this::isListCurrent, dialer, scheduler, servers, random, startedAt);
         controller = new CallController(config.settings(), config.seed(), scheduler,
-                line -> new ServerLink(line, common));
+                line -> new ServerLink(line, common), cover);
         KnownEvents.read(config).forEach(event -> controller.listed(event.whole(), event.lines()));
         feed = new BusFeed(config.knownOffset(), dialer, scheduler, random.split(),
                 event -> controller.listed(event.whole(), event.lines()), this::busUnreachable);
--- a/daemon/src/main/java/pathlane/platform/ServerLink.java
+++ b/daemon/src/main/java/pathlane/platform/ServerLink.java
@@ -95,6 +95,7 @@
     private final Duration idleAfter;
     private Duration redial = REDIAL_FIRST;
     private Scheduler.Timer redialTimer;
+    private Scheduler.Timer visitAnew;
     /** No further connection beside those that are up is dialled before this. */
     private Instant noMoreBefore = Instant.MIN;
     /** When the latest of the set-ups that the server has answered was sent. */
@@ -139,6 +140,7 @@
      * here, and the caller is owed them within 8 s. Spread, so that a start is no burst of hundreds of connections.
      */
     private void visit() {
+        redialTimer = null;
         if (!closed && sessions.isEmpty()) {
             dial();
             if (sessions.isEmpty()) {
@@ -262,6 +264,24 @@
         }
     }
 
+    @Override
+    public boolean keepsWaiting(String call) {
+        return waitingReleases.containsKey(call);
+    }
+
+    /** What the server told the former controller's connection as it broke, it tells the next one that opens as well. */
+    @Override
+    public void adopted(String call) {
+        if (visitAnew == null) {
+            visitAnew = scheduler.after(Duration.ofNanos(random.nextLong(REDIAL_FIRST.toNanos())), () -> {
+                visitAnew = null;
+                if (!closed && sessions.size() < limits.connections()) {
+                    dialOne();
+                }
+            });
+        }
+    }
+
     /**
      * Guards hundreds of servers against a connection from each controller for each call that one of them set up before
      * its restart: where none is up the release waits for the next, and there are only so many.
@@ -303,6 +323,9 @@
     public void close() {
         closed = true;
         reached();
+        if (visitAnew != null) {
+            visitAnew.cancel();
+        }
         waitingReleases.clear();
         if (redialTimer != null) {
             redialTimer.cancel();
@@ -369,8 +392,10 @@
             idle = scheduler.after(idleAfter, this::closeIfIdle);
             silence = scheduler.after(limits.silence(), this::closeIfSilent);
             LOG.log(Level.INFO, "server {0} at {1} is up", name, up.remote());
+            List<String> left = List.copyOf(waitingReleases.keySet());
             waitingReleases.values().forEach(up::write);
             waitingReleases.clear();
+            left.forEach(call -> controller.get().releaseLeft(call));
             if (!mayDrain()) {
                 sendWaiting();
             } else if (listCurrent.getAsBoolean()) {
--- /dev/null
+++ b/group/src/main/java/pathlane/group/Command.java
@@ -0,0 +1,41 @@
+package pathlane.group;
+
+import java.util.List;
+
+/**
+ * What the register is asked to do. Each may be applied twice with the effect of once, so that one whose answer got lost
+ * is asked again.
+ */
+public sealed interface Command {
+
+    /**
+     * A call controller asks for a lease.
+     *
+     * @param last the token that this process held before, or 0 after its start
+     * @param copies how many members are to keep a record; the same in the whole group
+     * @param emptied whether all keepers of the last lease's records have said that they dropped them
+     */
+    record Join(String name, long incarnation, String address, long last, int copies, boolean emptied)
+            implements Command { }
+
+    /** Leases go on: tokens, and how often each has been renewed. Gathered by the leader over a short span. */
+    record Renew(List<Renewal> renewals) implements Command { }
+
+    /** One lease goes on; the number grows with each renewal. */
+    record Renewal(long token, long number) { }
+
+    /** A planned end: whatever is left may be claimed at once. */
+    record Leave(long token) implements Command { }
+
+    /** The leader has not seen this lease renewed for so long that it has surely ended; void if it was renewed since. */
+    record Expire(long token, long number) implements Command { }
+
+    /** All of a member's records are where this view places them. */
+    record Cover(long token, long view) implements Command { }
+
+    /** A member wants to act for one that has gone, in these slots. */
+    record Claim(long claimer, long estate, List<Integer> slots) implements Command { }
+
+    /** What was claimed stands in the claimer's own records now: the former owner's can be dropped. */
+    record Settle(long claimer, long estate, List<Integer> slots) implements Command { }
+}
--- /dev/null
+++ b/group/src/main/java/pathlane/group/RegisterClient.java
@@ -0,0 +1,207 @@
+package pathlane.group;
+
+import java.io.IOException;
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Consumer;
+import org.msgpack.core.MessageBufferPacker;
+import org.msgpack.core.MessageUnpacker;
+import pathlane.core.ConnectionEnd;
+import pathlane.core.Scheduler;
+import pathlane.link.Dialer;
+import pathlane.wire.BadInput;
+
+/**
+ * A member's way to the register: one connection to the voter that leads, found by asking one after the other. It asks
+ * commands there and follows what the register does. On the loop's thread.
+ *
+ * <p>Messages are MessagePack. To a voter: {@code ASK id command}. From it: {@code ANSWER id reply}, {@code ELSEWHERE}
+ * where it does not lead, {@code STATE index register}, {@code APPLIED index command} for each command after it but
+ * renewals, and {@code ALIVE index} each so often.
+ */
+public final class RegisterClient implements Registrar {
+
+    private static final Logger LOG = System.getLogger("group");
+    static final int ASK = 1;
+    static final int ANSWER = 2;
+    static final int ELSEWHERE = 3;
+    static final int STATE = 4;
+    static final int APPLIED = 5;
+    static final int ALIVE = 6;
+
+    private static final Duration DIAL_TIMEOUT = Duration.ofMillis(500);
+    private static final Duration NEXT_VOTER = Duration.ofMillis(100);
+    /** A leader says that it is there five times in this. */
+    static final Duration SILENCE = Duration.ofSeconds(1);
+    private static final Duration UNANSWERED = Duration.ofSeconds(1);
+
+    private final List<InetSocketAddress> voters;
+    private final Dialer dialer;
+    private final Scheduler scheduler;
+    private final SealedLink.Common common;
+    private final Runnable changed;
+    private final Map<Long, Waiting> waiting = new HashMap<>();
+    private Register seen = new Register();
+    private long index = -1;
+    private long asks;
+    private int voter;
+    private Session session;
+    private boolean stopped;
+
+    private record Waiting(Consumer<Optional<Reply>> answered, Scheduler.Timer timer) { }
+
+    /**
+     * Dials nothing yet.
+     *
+     * @param changed run after each change of the register that was followed
+     */
+    public RegisterClient(List<InetSocketAddress> voters, Dialer dialer, SealedLink.Common common, Runnable changed) {
+        this.voters = List.copyOf(voters);
+        this.dialer = dialer;
+        this.scheduler = common.scheduler();
+        this.common = common;
+        this.changed = changed;
+    }
+
+    /** Begins to look for the voter that leads. */
+    public void start() {
+        dial();
+    }
+
+    /** Ends; nothing is answered any more. */
+    public void stop() {
+        stopped = true;
+        if (session != null) {
+            session.link.end(ConnectionEnd.DISCONNECTED);
+        }
+    }
+
+    /** Whether a voter that leads is connected and was heard lately. */
+    public boolean isConnected() {
+        return session != null && session.following;
+    }
+
+    @Override
+    public Register seen() {
+        return seen;
+    }
+
+    @Override
+    public void ask(Command command, Consumer<Optional<Reply>> answered) {
+        long id = ++asks;
+        if (!isConnected()) {
+            scheduler.after(Duration.ZERO, () -> answered.accept(Optional.empty()));
+            return;
+        }
+        waiting.put(id, new Waiting(answered, scheduler.after(UNANSWERED, () -> answer(id, Optional.empty()))));
+        byte[] bytes = RegisterCodec.bytes(command);
+        session.link.write(RegisterCodec.packed(packer -> {
+            packer.packInt(ASK).packLong(id).packBinaryHeader(bytes.length);
+            packer.writePayload(bytes);
+        }));
+    }
+
+    private void answer(long id, Optional<Reply> reply) {
+        Waiting one = waiting.remove(id);
+        if (one != null) {
+            one.timer.cancel();
+            one.answered.accept(reply);
+        }
+    }
+
+    private void dial() {
+        if (!stopped) {
+            session = new Session();
+            dialer.dial(voters.get(voter), DIAL_TIMEOUT, session.link);
+        }
+    }
+
+    static byte[] binary(MessageUnpacker unpacker) throws IOException {
+        return unpacker.readPayload(unpacker.unpackBinaryHeader());
+    }
+
+    static void binary(MessageBufferPacker packer, byte[] bytes) throws IOException {
+        packer.packBinaryHeader(bytes.length);
+        packer.writePayload(bytes);
+    }
+
+    private final class Session implements SealedLink.Upper {
+
+        private final SealedLink link = new SealedLink(common, true, this);
+        private boolean following;
+        private Scheduler.Timer silence;
+
+        @Override
+        public void up(SealedLink up, String name) {
+            await();
+        }
+
+        private void await() {
+            if (silence != null) {
+                silence.cancel();
+            }
+            silence = scheduler.after(SILENCE, () -> link.end(ConnectionEnd.SILENT));
+        }
+
+        @Override
+        public void message(byte[] payload) {
+            await();
+            RegisterCodec.read(payload, unpacker -> {
+                message(unpacker);
+                return null;
+            });
+        }
+
+        private void message(MessageUnpacker unpacker) throws IOException {
+            int kind = unpacker.unpackInt();
+            switch (kind) {
+                case ANSWER -> answer(unpacker.unpackLong(), Optional.of(RegisterCodec.reply(binary(unpacker))));
+                case ELSEWHERE -> link.end(ConnectionEnd.DISCONNECTED);
+                case STATE -> {
+                    long at = unpacker.unpackLong();
+                    if (at < index) {
+                        link.end(ConnectionEnd.OVERTAKEN);   // it led once, and does not know that it is behind
+                        return;
+                    }
+                    seen = RegisterCodec.register(binary(unpacker));
+                    index = at;
+                    if (!following) {
+                        LOG.log(Level.INFO, "register is led by the voter at {0}", voters.get(voter));
+                    }
+                    following = true;
+                    changed.run();
+                }
+                case APPLIED -> {
+                    index = unpacker.unpackLong();
+                    seen.apply(RegisterCodec.command(binary(unpacker)));
+                    changed.run();
+                }
+                case ALIVE -> { }
+                default -> throw new BadInput("a message of kind " + kind + " from a voter");
+            }
+        }
+
+        @Override
+        public void down(ConnectionEnd end) {
+            if (silence != null) {
+                silence.cancel();
+            }
+            if (session != this) {
+                return;
+            }
+            if (following) {
+                LOG.log(Level.WARNING, "the voter at {0}, which led the register, is lost: {1}", voters.get(voter), end);
+            }
+            following = false;
+            List.copyOf(waiting.keySet()).forEach(id -> answer(id, Optional.empty()));
+            voter = (voter + 1) % voters.size();
+            scheduler.after(NEXT_VOTER, RegisterClient.this::dial);
+        }
+    }
+}
--- /dev/null
+++ b/group/src/main/java/pathlane/group/RegisterCodec.java
@@ -0,0 +1,295 @@
+package pathlane.group;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SortedMap;
+import java.util.TreeMap;
+import org.msgpack.core.MessageBufferPacker;
+import org.msgpack.core.MessagePack;
+import org.msgpack.core.MessagePackException;
+import org.msgpack.core.MessageUnpacker;
+import pathlane.wire.BadInput;
+
+/** The register's commands, answers and whole state as MessagePack: arrays, each with its kind first. */
+public final class RegisterCodec {
+
+    private static final int JOIN = 1;
+    private static final int RENEW = 2;
+    private static final int LEAVE = 3;
+    private static final int EXPIRE = 4;
+    private static final int COVER = 5;
+    private static final int CLAIM = 6;
+    private static final int SETTLE = 7;
+
+    private static final int GRANTED = 1;
+    private static final int ENDED = 2;
+    private static final int HELD = 3;
+    private static final int DONE = 4;
+    private static final int REFUSED = 5;
+
+    /** Guards memory against lengths that no group has. */
+    private static final int MOST_ITEMS = 1 << 20;
+
+
+    private RegisterCodec() { }
+
+    public static byte[] bytes(Command command) {
+        return packed(packer -> write(packer, command));
+    }
+
+    /** @throws BadInput where it is none */
+    public static Command command(byte[] bytes) {
+        return read(bytes, RegisterCodec::command);
+    }
+
+    public static byte[] bytes(Reply reply) {
+        return packed(packer -> write(packer, reply));
+    }
+
+    /** @throws BadInput where it is none */
+    public static Reply reply(byte[] bytes) {
+        return read(bytes, RegisterCodec::reply);
+    }
+
+    public static byte[] bytes(Register register) {
+        return packed(packer -> write(packer, register.whole()));
+    }
+
+    /** @throws BadInput where it is none */
+    public static Register register(byte[] bytes) {
+        return read(bytes, unpacker -> Register.of(whole(unpacker)));
+    }
+
+    interface Writer {
+        void write(MessageBufferPacker packer) throws IOException;
+    }
+
+    interface Reader<T> {
+        T read(MessageUnpacker unpacker) throws IOException;
+    }
+
+    static byte[] packed(Writer writer) {
+        try (MessageBufferPacker packer = MessagePack.newDefaultBufferPacker()) {
+            writer.write(packer);
+            return packer.toByteArray();
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);   // a buffer in memory has none
+        }
+    }
+
+    static <T> T read(byte[] bytes, Reader<T> reader) {
+        try (MessageUnpacker unpacker = MessagePack.newDefaultUnpacker(bytes)) {
+            return reader.read(unpacker);
+        } catch (IOException | MessagePackException e) {
+            throw new BadInput("not a message of the group: " + e.getMessage());
+        }
+    }
+
+    static int items(MessageUnpacker unpacker) throws IOException {
+        int items = unpacker.unpackArrayHeader();
+        if (items > MOST_ITEMS) {
+            throw new BadInput(items + " items");
+        }
+        return items;
+    }
+
+    private static void write(MessageBufferPacker packer, Command command) throws IOException {
+        if (command instanceof Command.Join join) {
+            packer.packInt(JOIN).packString(join.name()).packLong(join.incarnation()).packString(join.address())
+                    .packLong(join.last()).packInt(join.copies()).packBoolean(join.emptied());
+        } else if (command instanceof Command.Renew renew) {
+            packer.packInt(RENEW).packArrayHeader(renew.renewals().size());
+            for (Command.Renewal one : renew.renewals()) {
+                packer.packLong(one.token()).packLong(one.number());
+            }
+        } else if (command instanceof Command.Leave leave) {
+            packer.packInt(LEAVE).packLong(leave.token());
+        } else if (command instanceof Command.Expire expire) {
+            packer.packInt(EXPIRE).packLong(expire.token()).packLong(expire.number());
+        } else if (command instanceof Command.Cover cover) {
+            packer.packInt(COVER).packLong(cover.token()).packLong(cover.view());
+        } else if (command instanceof Command.Claim claim) {
+            packer.packInt(CLAIM).packLong(claim.claimer()).packLong(claim.estate());
+            writeSlots(packer, claim.slots());
+        } else {
+            Command.Settle settle = (Command.Settle) command;
+            packer.packInt(SETTLE).packLong(settle.claimer()).packLong(settle.estate());
+            writeSlots(packer, settle.slots());
+        }
+    }
+
+    private static Command command(MessageUnpacker unpacker) throws IOException {
+        int kind = unpacker.unpackInt();
+        switch (kind) {
+            case JOIN -> {
+                return new Command.Join(unpacker.unpackString(), unpacker.unpackLong(), unpacker.unpackString(),
+                        unpacker.unpackLong(), unpacker.unpackInt(), unpacker.unpackBoolean());
+            }
+            case RENEW -> {
+                int items = items(unpacker);
+                List<Command.Renewal> renewals = new ArrayList<>();
+                for (int i = 0; i < items; i++) {
+                    renewals.add(new Command.Renewal(unpacker.unpackLong(), unpacker.unpackLong()));
+                }
+                return new Command.Renew(renewals);
+            }
+            case LEAVE -> {
+                return new Command.Leave(unpacker.unpackLong());
+            }
+            case EXPIRE -> {
+                return new Command.Expire(unpacker.unpackLong(), unpacker.unpackLong());
+            }
+            case COVER -> {
+                return new Command.Cover(unpacker.unpackLong(), unpacker.unpackLong());
+            }
+            case CLAIM -> {
+                return new Command.Claim(unpacker.unpackLong(), unpacker.unpackLong(), slots(unpacker));
+            }
+            case SETTLE -> {
+                return new Command.Settle(unpacker.unpackLong(), unpacker.unpackLong(), slots(unpacker));
+            }
+            default -> throw new BadInput("a command of kind " + kind);
+        }
+    }
+
+    private static void writeSlots(MessageBufferPacker packer, List<Integer> slots) throws IOException {
+        packer.packArrayHeader(slots.size());
+        for (int slot : slots) {
+            packer.packInt(slot);
+        }
+    }
+
+    private static List<Integer> slots(MessageUnpacker unpacker) throws IOException {
+        int items = items(unpacker);
+        List<Integer> slots = new ArrayList<>();
+        for (int i = 0; i < items; i++) {
+            slots.add(unpacker.unpackInt());
+        }
+        return slots;
+    }
+
+    private static void write(MessageBufferPacker packer, Reply reply) throws IOException {
+        if (reply instanceof Reply.Granted granted) {
+            packer.packInt(GRANTED).packLong(granted.token());
+        } else if (reply instanceof Reply.Ended ended) {
+            packer.packInt(ENDED).packArrayHeader(ended.tokens().size());
+            for (long token : ended.tokens()) {
+                packer.packLong(token);
+            }
+        } else if (reply instanceof Reply.Held held) {
+            packer.packInt(HELD);
+            writeSlots(packer, held.slots());
+        } else if (reply instanceof Reply.Refused refused) {
+            packer.packInt(REFUSED).packString(refused.why());
+        } else {
+            packer.packInt(DONE);
+        }
+    }
+
+    private static Reply reply(MessageUnpacker unpacker) throws IOException {
+        int kind = unpacker.unpackInt();
+        switch (kind) {
+            case GRANTED -> {
+                return new Reply.Granted(unpacker.unpackLong());
+            }
+            case ENDED -> {
+                return new Reply.Ended(tokens(unpacker));
+            }
+            case HELD -> {
+                return new Reply.Held(slots(unpacker));
+            }
+            case DONE -> {
+                return Reply.DONE;
+            }
+            case REFUSED -> {
+                return new Reply.Refused(unpacker.unpackString());
+            }
+            default -> throw new BadInput("an answer of kind " + kind);
+        }
+    }
+
+    private static List<Long> tokens(MessageUnpacker unpacker) throws IOException {
+        List<Long> tokens = new ArrayList<>();
+        for (int left = items(unpacker); left > 0; left--) {
+            tokens.add(unpacker.unpackLong());
+        }
+        return tokens;
+    }
+
+    private static void write(MessageBufferPacker packer, Register.Whole whole) throws IOException {
+        packer.packLong(whole.lastToken()).packLong(whole.view()).packInt(whole.copies());
+        packer.packArrayHeader(whole.leases().size());
+        for (Register.Lease lease : whole.leases().values()) {
+            write(packer, lease.member);
+            packer.packLong(lease.renewals).packLong(lease.covered);
+        }
+        packer.packArrayHeader(whole.estates().size());
+        for (Register.Estate estate : whole.estates().values()) {
+            write(packer, estate.former());
+            packer.packLong(estate.view()).packArrayHeader(estate.holders().size());
+            for (var slot : estate.holders().entrySet()) {
+                packer.packInt(slot.getKey()).packLong(slot.getValue());
+                List<Long> past = estate.past(slot.getKey());
+                packer.packArrayHeader(past.size());
+                for (long token : past) {
+                    packer.packLong(token);
+                }
+            }
+        }
+        packer.packArrayHeader(whole.views().size());
+        for (var view : whole.views().entrySet()) {
+            packer.packLong(view.getKey()).packArrayHeader(view.getValue().size());
+            for (Member member : view.getValue()) {
+                write(packer, member);
+            }
+        }
+    }
+
+    private static Register.Whole whole(MessageUnpacker unpacker) throws IOException {
+        long lastToken = unpacker.unpackLong();
+        long view = unpacker.unpackLong();
+        int copies = unpacker.unpackInt();
+        SortedMap<Long, Register.Lease> leases = new TreeMap<>();
+        for (int left = items(unpacker); left > 0; left--) {
+            Register.Lease lease = new Register.Lease(member(unpacker));
+            lease.renewals = unpacker.unpackLong();
+            lease.covered = unpacker.unpackLong();
+            leases.put(lease.member.token(), lease);
+        }
+        SortedMap<Long, Register.Estate> estates = new TreeMap<>();
+        for (int left = items(unpacker); left > 0; left--) {
+            Member former = member(unpacker);
+            long placed = unpacker.unpackLong();
+            SortedMap<Integer, Long> holders = new TreeMap<>();
+            SortedMap<Integer, List<Long>> past = new TreeMap<>();
+            for (int slots = items(unpacker); slots > 0; slots--) {
+                int slot = unpacker.unpackInt();
+                holders.put(slot, unpacker.unpackLong());
+                past.put(slot, tokens(unpacker));
+            }
+            estates.put(former.token(), Register.estate(former, placed, holders, past));
+        }
+        SortedMap<Long, List<Member>> views = new TreeMap<>();
+        for (int left = items(unpacker); left > 0; left--) {
+            long number = unpacker.unpackLong();
+            List<Member> members = new ArrayList<>();
+            for (int items = items(unpacker); items > 0; items--) {
+                members.add(member(unpacker));
+            }
+            views.put(number, members);
+        }
+        return new Register.Whole(lastToken, view, copies, leases, estates, views);
+    }
+
+    private static void write(MessageBufferPacker packer, Member member) throws IOException {
+        packer.packString(member.name()).packLong(member.incarnation()).packString(member.address())
+                .packLong(member.token());
+    }
+
+    private static Member member(MessageUnpacker unpacker) throws IOException {
+        return new Member(unpacker.unpackString(), unpacker.unpackLong(), unpacker.unpackString(),
+                unpacker.unpackLong());
+    }
+}
--- /dev/null
+++ b/group/src/main/java/pathlane/group/SealedLink.java
@@ -0,0 +1,229 @@
+package pathlane.group;
+
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.security.GeneralSecurityException;
+import java.security.MessageDigest;
+import java.time.Duration;
+import java.util.Arrays;
+import java.util.function.Supplier;
+import javax.crypto.Mac;
+import javax.crypto.spec.SecretKeySpec;
+import pathlane.core.ConnectionEnd;
+import pathlane.core.Scheduler;
+import pathlane.link.Connection;
+import pathlane.link.LimitedLog;
+import pathlane.link.Protocol;
+import pathlane.wire.BadInput;
+import pathlane.wire.FrameAssembler;
+
+/**
+ * One connection of the group's: frames that are each signed by a key that both sides have (HMAC-SHA-256, RFC 2104, cut
+ * to 16 bytes), over what both sides said at the opening and the frame's place in the order, so that none can be forged,
+ * changed, left out, or played again here or on another connection. A state machine fed bytes, on the loop's thread.
+ *
+ * <p>A frame is length:4 payload mac:16, big-endian. Each side begins with an open frame of "PLG1", the name of its key,
+ * its own name and 16 random bytes, and then signs an empty one; what comes before that has been checked reaches nobody.
+ */
+public final class SealedLink implements Protocol {
+
+    private static final byte[] MAGIC = {'P', 'L', 'G', '1'};
+    private static final int LENGTH_BYTES = 4;
+    private static final int MAC_BYTES = 16;
+    private static final int NONCE_BYTES = 16;
+    /** Records of a slot with tens of thousands of calls. */
+    private static final int LONGEST = 4 << 20;
+    private static final int LONGEST_OPENING = 512;
+    private static final String ALGORITHM = "HmacSHA256";
+    private static final Duration OPENING = Duration.ofSeconds(2);
+
+    /** What the frames are for. */
+    public interface Upper {
+        /** The other side has shown that it has a key; it says that its name is this. */
+        void up(SealedLink link, String name);
+
+        /** @throws BadInput where it can't be used; the connection then ends */
+        void message(byte[] payload);
+
+        /** It has ended, or never came up; called once, and last. */
+        void down(ConnectionEnd end);
+    }
+
+    /**
+     * What all links of a process share.
+     *
+     * @param keys asked for at each opening, so that a reload holds for the next one
+     * @param random fills 16 bytes that are never the same again
+     */
+    public record Common(String name, Supplier<Keys> keys, Supplier<byte[]> random, Scheduler scheduler,
+                         LimitedLog log) { }
+
+    private final Common common;
+    private final boolean dialled;
+    private final Upper upper;
+    private final FrameAssembler assembler = new FrameAssembler(LENGTH_BYTES, 0, LONGEST);
+    private Connection connection;
+    private Scheduler.Timer opening;
+    private byte[] ownOpening;
+    private byte[] otherOpening;
+    private String otherName;
+    private Mac signs;
+    private Mac checks;
+    private long written;
+    private long read;
+    private boolean proven;
+    private boolean ended;
+
+    /** {@code dialled} tells the two sides apart: what one signed is never taken for the other's. */
+    public SealedLink(Common common, boolean dialled, Upper upper) {
+        this.common = common;
+        this.dialled = dialled;
+        this.upper = upper;
+    }
+
+    @Override
+    public void opened(Connection up) {
+        connection = up;
+        Keys.Key key = common.keys().get().first();
+        byte[] keyName = key.name().getBytes(StandardCharsets.UTF_8);
+        byte[] name = common.name().getBytes(StandardCharsets.UTF_8);
+        ownOpening = ByteBuffer.allocate(MAGIC.length + 1 + keyName.length + 1 + name.length + NONCE_BYTES).put(MAGIC)
+                .put((byte) keyName.length).put(keyName).put((byte) name.length).put(name).put(common.random().get())
+                .array();
+        signs = mac(key.secret());
+        connection.write(ByteBuffer.allocate(LENGTH_BYTES + ownOpening.length).putInt(ownOpening.length).put(ownOpening)
+                .array());
+        opening = common.scheduler().after(OPENING, () -> end(ConnectionEnd.UNFINISHED));
+    }
+
+    private static Mac mac(byte[] secret) {
+        try {
+            Mac mac = Mac.getInstance(ALGORITHM);
+            mac.init(new SecretKeySpec(secret, ALGORITHM));
+            return mac;
+        } catch (GeneralSecurityException e) {
+            throw new IllegalStateException(e);   // every JDK has it
+        }
+    }
+
+    @Override
+    public void received(ByteBuffer bytes) {
+        try {
+            assembler.feed(bytes, this::frame);
+        } catch (BadInput e) {
+            common.log().warn("{0} closed: {1}", otherName == null ? connection.remote() : otherName, e.getMessage());
+            bytes.position(bytes.limit());
+            end(ConnectionEnd.BAD_INPUT);
+        }
+    }
+
+    private void frame(ByteBuffer frame) {
+        if (ended) {
+            return;
+        }
+        byte[] bytes = new byte[frame.remaining()];
+        frame.get(bytes);
+        if (otherOpening == null) {
+            opening(bytes);
+            return;
+        }
+        if (bytes.length < MAC_BYTES) {
+            throw new BadInput("a frame without a signature");
+        }
+        int size = bytes.length - MAC_BYTES;
+        byte[] expected = sign(checks, otherOpening, ownOpening, !dialled, read++, bytes, size);
+        if (!MessageDigest.isEqual(expected, Arrays.copyOfRange(bytes, size, bytes.length))) {
+            throw new BadInput(proven ? "a frame that is forged, changed or out of its order" : "another key than it says");
+        }
+        if (!proven) {
+            proven = true;
+            opening.cancel();
+            upper.up(this, otherName);
+        } else {
+            upper.message(Arrays.copyOf(bytes, size));
+        }
+    }
+
+    private void opening(byte[] bytes) {
+        ByteBuffer read = ByteBuffer.wrap(bytes);
+        byte[] magic = new byte[MAGIC.length];
+        if (bytes.length > LONGEST_OPENING || bytes.length < MAGIC.length + 2 + NONCE_BYTES) {
+            throw new BadInput("not an opening of the group's");
+        }
+        read.get(magic);
+        if (!Arrays.equals(magic, MAGIC)) {
+            throw new BadInput("not the group's protocol, or another version of it");
+        }
+        String key = text(read);
+        otherName = text(read);
+        if (read.remaining() != NONCE_BYTES) {
+            throw new BadInput("an opening that is cut short");
+        }
+        byte[] secret = common.keys().get().named(key);
+        if (secret == null) {
+            throw new BadInput("a key '" + key + "' that is not in the file");
+        }
+        otherOpening = bytes;
+        checks = mac(secret);
+        write(new byte[0]);   // shows that the key is there
+    }
+
+    private static String text(ByteBuffer from) {
+        byte[] text = new byte[from.get() & 0xff];
+        if (text.length > from.remaining()) {
+            throw new BadInput("an opening that is cut short");
+        }
+        from.get(text);
+        return new String(text, StandardCharsets.UTF_8);
+    }
+
+    private static byte[] sign(Mac mac, byte[] signer, byte[] other, boolean bySideThatDialled, long number,
+                               byte[] payload, int size) {
+        mac.update((byte) (bySideThatDialled ? 1 : 0));
+        mac.update(signer);
+        mac.update(other);
+        mac.update(ByteBuffer.allocate(Long.BYTES).putLong(number).array());
+        mac.update(payload, 0, size);
+        return Arrays.copyOf(mac.doFinal(), MAC_BYTES);
+    }
+
+    /** Whether the other side has shown who it is. */
+    public boolean isUp() {
+        return proven && !ended;
+    }
+
+    /** Signs and sends. */
+    public void write(byte[] payload) {
+        if (ended) {
+            return;
+        }
+        byte[] mac = sign(signs, ownOpening, otherOpening, dialled, written++, payload, payload.length);
+        connection.write(ByteBuffer.allocate(LENGTH_BYTES + payload.length + MAC_BYTES)
+                .putInt(payload.length + MAC_BYTES).put(payload).put(mac).array());
+    }
+
+    /** Whether the other side has stopped reading. */
+    public boolean isStuck() {
+        return connection != null && connection.isStuck();
+    }
+
+    /** Closes it; {@link Upper#down} follows. */
+    public void end(ConnectionEnd why) {
+        ended = true;
+        if (opening != null) {
+            opening.cancel();
+        }
+        if (connection != null) {
+            connection.close(why);
+        }
+    }
+
+    @Override
+    public void closed(ConnectionEnd end) {
+        ended = true;
+        if (opening != null) {
+            opening.cancel();
+        }
+        upper.down(end);
+    }
+}
--- /dev/null
+++ b/group/src/test/java/pathlane/group/LeaseExplorationTest.java
@@ -0,0 +1,283 @@
+package pathlane.group;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.dynatrace.hash4j.hashing.HashValue128;
+import com.dynatrace.hash4j.hashing.Hashing;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.TreeSet;
+import org.junit.jupiter.api.Test;
+
+/**
+ * Every order in which leases are renewed, lapse and end, claims are made, answers are lost, and processes are stopped,
+ * go on, die and start anew, for 3 controllers and 2 calls, over the real {@link Register} and {@link LeaseTerms}: in no
+ * state may two controllers act on one call. Time goes in steps, as many as two leases last.
+ */
+class LeaseExplorationTest {
+
+    private static final LeaseTerms TERMS = new LeaseTerms(Duration.ofMillis(1000), 0.1, Duration.ofMillis(100));
+    private static final int STEP = 400;
+    private static final int END = 2000;
+    private static final int CONTROLLERS = 3;
+    /** The calls are the first controller's; each is in a slot of its own. */
+    private static final int[] SLOTS = {3, 200};
+    private static final int MOST_STATES = 3_000_000;
+
+    /** What is left out, to see that the exploration would notice. */
+    private enum Without { NOTHING, WAITING_FOR_THE_END, THE_OWN_CHECK, AGREEMENT }
+
+    /** {@code noted} has, as TOKEN:CALL, by which leases there are records of which calls. */
+    private record State(int now, byte[] register, List<Self> selves, Set<String> onTheWay, boolean started,
+                         Set<String> noted) {
+
+        HashValue128 key() {
+            byte[] rest = (now + "" + selves + onTheWay + started + noted).getBytes(StandardCharsets.UTF_8);
+            return Hashing.murmur3_128().hashStream().putBytes(register).putBytes(rest).get();
+        }
+    }
+
+    /**
+     * A controller.
+     *
+     * @param sureUntil by when its lease is not sure any more, in its own clock, which is right here
+     * @param holds which of the calls it believes to be its own to act on
+     */
+    private record Self(long token, int sureUntil, int renewals, boolean stopped, boolean dead, Set<Integer> holds) { }
+
+    private int states;
+    private String violation;
+
+    private void explore(Without without) {
+        Register register = new Register();
+        List<Self> selves = new ArrayList<>();
+        for (int i = 0; i < CONTROLLERS; i++) {
+            Reply.Granted granted = (Reply.Granted) register.apply(join(i, 1, 0));
+            selves.add(new Self(granted.token(), sureFor(), 0, false, false, i == 0 ? new TreeSet<>(List.of(0, 1))
+                    : new TreeSet<>()));
+        }
+        for (Self self : selves) {
+            register.apply(new Command.Cover(self.token, register.view()));
+        }
+        Deque<State> open = new ArrayDeque<>();
+        Set<HashValue128> seen = new HashSet<>();
+        add(new State(0, RegisterCodec.bytes(register), selves, new TreeSet<>(), false,
+                new TreeSet<>(List.of("1:0", "1:1"))), open, seen);
+        while (!open.isEmpty() && violation == null) {
+            State state = open.pop();
+            states++;
+            check(state, without);
+            next(state, without).forEach(one -> add(one, open, seen));
+            assertTrue(states < MOST_STATES, "too many states");
+        }
+    }
+
+    private static void add(State state, Deque<State> open, Set<HashValue128> seen) {
+        if (seen.add(state.key())) {
+            open.push(state);   // depth first: the states that wait stay few
+        }
+    }
+
+    private static int sureFor() {
+        return (int) TERMS.sureFor().toMillis();
+    }
+
+    private static Command.Join join(int place, long incarnation, long last) {
+        return new Command.Join("n" + place, incarnation, "127.0.0.1:" + (7000 + place), last, 2, false);
+    }
+
+    /** What may happen next, each by itself. */
+    private List<State> next(State state, Without without) {
+        List<State> next = new ArrayList<>();
+        if (state.now < END) {
+            next.add(new State(state.now + STEP, state.register, state.selves, state.onTheWay, state.started, state.noted));
+        }
+        Register register = RegisterCodec.register(state.register);
+        for (int i = 0; i < CONTROLLERS; i++) {
+            Self self = state.selves.get(i);
+            if (self.dead) {
+                if (!state.started) {
+                    next.add(restart(state, i));
+                }
+                continue;
+            }
+            if (i == 0) {
+                // The owner alone may be stopped or die here; successors die in the second half of the orders below.
+                next.add(with(state, i, new Self(self.token, self.sureUntil, self.renewals, !self.stopped, false,
+                        self.holds)));
+            }
+            if (i < 2) {
+                next.add(with(state, i, new Self(self.token, self.sureUntil, self.renewals, false, true, Set.of())));
+            }
+            if (!self.stopped && self.token != 0) {
+                // A renewal leaves now, and is taken at any time later, or never.
+                if (self.renewals < 1 && i < 2) {
+                    Set<String> way = new TreeSet<>(state.onTheWay);
+                    way.add("renew " + i + " " + self.token + " " + (self.renewals + 1) + " " + state.now);
+                    next.add(new State(state.now, state.register, replace(state.selves, i, new Self(self.token,
+                            self.sureUntil, self.renewals + 1, false, false, self.holds)), way, state.started, state.noted));
+                }
+                claims(state, register, i, without, next);
+            }
+        }
+        for (String message : state.onTheWay) {
+            deliver(state, message, next);
+        }
+        for (Member member : register.members()) {
+            expire(state, register, member, without, next);
+        }
+        return next;
+    }
+
+    private State restart(State state, int i) {
+        Register register = RegisterCodec.register(state.register);
+        Reply.Granted granted = (Reply.Granted) register.apply(join(i, 2, 0));
+        return new State(state.now, RegisterCodec.bytes(register), replace(state.selves, i,
+                new Self(granted.token(), state.now + sureFor(), 2, false, false, Set.of())), state.onTheWay, true, state.noted);
+    }
+
+    private void claims(State state, Register register, int i, Without without, List<State> next) {
+        Self self = state.selves.get(i);
+        boolean sure = state.now < self.sureUntil;
+        if (!sure && without != Without.THE_OWN_CHECK) {
+            return;
+        }
+        for (Register.Estate estate : register.estates()) {
+            for (int call = 0; call < SLOTS.length; call++) {
+                long owner = estate.former().token();
+                if (!state.noted.contains(owner + ":" + call)
+                        || !estate.holders().containsKey(SLOTS[call]) || register.heirs(estate, SLOTS[call]).stream()
+                        .noneMatch(heir -> heir.token() == self.token)) {
+                    continue;
+                }
+                Register after = RegisterCodec.register(state.register);
+                Reply.Held held = (Reply.Held) after.apply(new Command.Claim(self.token, estate.former().token(),
+                        List.of(SLOTS[call])));
+                if (held.slots().contains(SLOTS[call]) || without == Without.AGREEMENT) {
+                    // What a holder before had noted itself goes by its own records.
+                    int one = call;
+                    boolean elsewhere = estate.past(SLOTS[call]).stream().anyMatch(past -> register.estate(past).isPresent()
+                            && state.noted.contains(past + ":" + one));
+                    Set<Integer> holds = new TreeSet<>(self.holds);
+                    Set<String> noted = new TreeSet<>(state.noted);
+                    if (!elsewhere) {
+                        holds.add(call);
+                        noted.add(self.token + ":" + call);
+                    }
+                    next.add(new State(state.now, RegisterCodec.bytes(after), replace(state.selves, i, new Self(self.token,
+                            self.sureUntil, self.renewals, false, false, holds)), state.onTheWay, state.started, noted));
+                }
+            }
+        }
+    }
+
+    /** A renewal is taken now; its answer comes, or is lost. */
+    private void deliver(State state, String message, List<State> next) {
+        String[] words = message.split(" ");
+        int i = Integer.parseInt(words[1]);
+        long token = Long.parseLong(words[2]);
+        Register register = RegisterCodec.register(state.register);
+        Reply.Ended ended = (Reply.Ended) register.apply(new Command.Renew(List.of(new Command.Renewal(token,
+                Long.parseLong(words[3])))));
+        byte[] bytes = RegisterCodec.bytes(register);
+        Set<String> way = new TreeSet<>(state.onTheWay);
+        way.remove(message);
+        next.add(new State(state.now, bytes, state.selves, way, state.started, state.noted));
+        Self self = state.selves.get(i);
+        if (!self.dead && !self.stopped && self.token == token) {
+            Self told = ended.tokens().contains(token)
+                    ? new Self(0, 0, self.renewals, false, false, Set.of())
+                    : new Self(token, Math.max(self.sureUntil, Integer.parseInt(words[4]) + sureFor()), self.renewals,
+                            false, false, self.holds);
+            next.add(new State(state.now, bytes, replace(state.selves, i, told), way, state.started, state.noted));
+        }
+    }
+
+    /** The leader ends a lease, once it has waited since it applied the last renewal, which here is when it was taken. */
+    private void expire(State state, Register register, Member member, Without without, List<State> next) {
+        long number = register.renewals(member.token());
+        int appliedAt = appliedAt(state, member, number);
+        if (without != Without.WAITING_FOR_THE_END
+                && state.now - appliedAt <= TERMS.endedAfter().toMillis()) {
+            return;
+        }
+        Register after = RegisterCodec.register(state.register);
+        after.apply(new Command.Expire(member.token(), number));
+        next.add(new State(state.now, RegisterCodec.bytes(after), state.selves, state.onTheWay, state.started, state.noted));
+    }
+
+    /** No earlier than it was sent: the worst case for whoever waits. Renewals leave at known times in this model. */
+    private static int appliedAt(State state, Member member, long number) {
+        if (number == 0) {
+            return member.incarnation() == 1 ? 0 : state.now;
+        }
+        for (Self self : state.selves) {
+            if (self.token == member.token()) {
+                // Sure until tells when its last answered renewal left; an unanswered one left no earlier than that.
+                return Math.max(0, self.sureUntil - sureFor());
+            }
+        }
+        return state.now;
+    }
+
+    private static State with(State state, int i, Self self) {
+        return new State(state.now, state.register, replace(state.selves, i, self), state.onTheWay, state.started, state.noted);
+    }
+
+    private static List<Self> replace(List<Self> selves, int i, Self self) {
+        List<Self> replaced = new ArrayList<>(selves);
+        replaced.set(i, self);
+        return replaced;
+    }
+
+    /** A stopped process acts as soon as it goes on, and checks first: it counts as one that would act now. */
+    private void check(State state, Without without) {
+        for (int call = 0; call < SLOTS.length; call++) {
+            List<Integer> acting = new ArrayList<>();
+            for (int i = 0; i < CONTROLLERS; i++) {
+                Self self = state.selves.get(i);
+                boolean sure = state.now < self.sureUntil || without == Without.THE_OWN_CHECK;
+                if (!self.dead && self.holds.contains(call) && sure) {
+                    acting.add(i);
+                }
+            }
+            if (acting.size() > 1) {
+                violation = "call " + call + " is acted on by " + acting + " at " + state;
+            }
+        }
+    }
+
+    @Test
+    void inNoOrderDoTwoActOnOneCall() {
+        explore(Without.NOTHING);
+        assertEquals(null, violation);
+        assertTrue(states > 10_000, () -> states + " states alone");
+        System.out.println("lease exploration: " + states + " states");
+    }
+
+    @Test
+    void withoutWaitingForTheEndTwoWould() {
+        explore(Without.WAITING_FOR_THE_END);
+        assertFalse(violation == null);
+    }
+
+    @Test
+    void withoutTheOwnersCheckTwoWould() {
+        explore(Without.THE_OWN_CHECK);
+        assertFalse(violation == null);
+    }
+
+    @Test
+    void withoutAgreementOnClaimsTwoWould() {
+        explore(Without.AGREEMENT);
+        assertFalse(violation == null);
+    }
+}
--- /dev/null
+++ b/handover/src/main/java/pathlane/handover/AdoptedCaller.java
@@ -0,0 +1,29 @@
+package pathlane.handover;
+
+import java.time.Duration;
+import pathlane.core.CallerPort;
+import pathlane.decision.Gateway.Ending;
+
+/** The caller of a call that another member set up: known by name alone, and reached by whichever connection reaches it. */
+record AdoptedCaller(String key) implements CallerPort {
+
+    @Override
+    public void answer(String call, byte[] description) {
+        throw new IllegalStateException("call " + call + " was answered before");
+    }
+
+    @Override
+    public void refuse(String call, Duration comeBackAfter) {
+        throw new IllegalStateException("call " + call + " was answered before");
+    }
+
+    @Override
+    public void fail(String call) {
+        throw new IllegalStateException("call " + call + " was answered before");
+    }
+
+    @Override
+    public void release(String call, Ending how) {
+        throw new IllegalStateException("call " + call + " has no connection of its own");
+    }
+}
--- /dev/null
+++ b/handover/src/main/java/pathlane/handover/Handover.java
@@ -0,0 +1,655 @@
+package pathlane.handover;
+
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Consumer;
+import java.util.function.LongSupplier;
+import pathlane.core.CallController;
+import pathlane.core.CallEvent;
+import pathlane.core.CallerPort;
+import pathlane.core.Cover;
+import pathlane.core.Scheduler;
+import pathlane.decision.Gateway.Ending;
+import pathlane.group.Placement;
+import pathlane.group.Register;
+import pathlane.group.RegisterClient;
+import pathlane.group.Registrar;
+import pathlane.group.Seat;
+import pathlane.group.SealedLink;
+import pathlane.link.Dialer;
+import pathlane.link.Protocol;
+import pathlane.link.RateLimit;
+
+/**
+ * One controller's part in a group whose members go on with each other's calls: its lease, its records at others, what it
+ * keeps for others, and what it takes over. On the loop's thread.
+ *
+ * <p>Rule: it writes something that concerns a call others may act on only while its lease is sure ({@link #mayAct}).
+ */
+public final class Handover implements Cover, Seat.Holder {
+
+    private static final Logger LOG = System.getLogger("group");
+    private static final Duration TICK = Duration.ofMillis(250);
+    private static final Duration REGISTER_SETTLES = Duration.ofMillis(50);
+    private static final Duration FLUSH_MOST = Duration.ofMillis(500);
+    private static final Duration LEAVE_MOST = Duration.ofSeconds(1);
+    private static final Duration LAST_WORDS = Duration.ofMillis(100);
+    /** The bus may name a server up to 9.5 s late: an adopted call's is waited for so long. */
+    private static final Duration NAMED_BY = Duration.ofSeconds(10);
+    /** Things that happened to calls that are not known here: so many at once, and one more each so often. */
+    private static final int STRAYS_AT_ONCE = 1_000;
+    private static final Duration STRAY_EVERY = Duration.ofMillis(2);
+
+    private record Place(long owner, int slot) { }
+
+    /** An attempt that was out when its owner went. */
+    private record Loose(CallRecord record, Instant orphanAt) { }
+
+    private final Terms terms;
+    private final Scheduler scheduler;
+    private final Registrar registrar;
+    private final RegisterClient client;
+    private final Seat seat;
+    private final Links links;
+    private final Ledger ledger;
+    private final Keeping keeping;
+    private final Succession succession;
+    private final Strays strays;
+    private final Doubts doubts;
+    private final RateLimit strayLimit;
+    private final Map<String, List<CallEvent>> parked = new LinkedHashMap<>();
+    private final Map<String, Loose> loose = new HashMap<>();
+    /** Calls gone on with whose slot is not settled: their former records are still there. */
+    private final Map<String, Place> unsettled = new HashMap<>();
+    private final Map<Place, List<String>> wentOn = new HashMap<>();
+    private final Map<Place, Long> wentOnAt = new HashMap<>();
+    /** Calls whose server the list does not name yet, and until when it is waited for. */
+    private final Map<String, Instant> unplaced = new LinkedHashMap<>();
+    private final Set<Long> freedBy = new HashSet<>();
+    private CallController controller;
+    private boolean registerChanged;
+    private boolean leaving;
+    private boolean stopped;
+
+    /**
+     * Starts nothing yet.
+     *
+     * @param incarnation drawn anew at each start of the process
+     * @param voters where the register's voters are reached
+     * @param nanos the monotonic clock
+     */
+    public Handover(Terms terms, long incarnation, List<InetSocketAddress> voters, Dialer dialer,
+                    SealedLink.Common common, LongSupplier nanos) {
+        this.terms = terms;
+        this.scheduler = common.scheduler();
+        this.client = new RegisterClient(voters, dialer, common, this::registerChanged);
+        this.registrar = client;
+        this.seat = new Seat(terms.name(), incarnation, terms.address(), terms.copies(), terms.lease(), client, scheduler,
+                nanos, this);
+        this.keeping = new Keeping(scheduler, terms.clearWait());
+        this.links = new Links(dialer, common, client, seat::token, new Incoming());
+        this.ledger = new Ledger(client, scheduler, terms.window(), new LedgerOut());
+        this.succession = new Succession(client, seat, scheduler, keeping, terms.pace(), new SuccessionWork());
+        this.strays = new Strays(client, scheduler, keeping, new StraysOut());
+        this.doubts = new Doubts(client, new DoubtsOut());
+        this.strayLimit = new RateLimit(STRAYS_AT_ONCE, STRAY_EVERY, scheduler);
+    }
+
+    /** Begins; the controller is the one that has this as its cover. */
+    public void start(CallController of) {
+        controller = of;
+        client.start();
+        seat.start();
+        tick();
+    }
+
+    /** The state machine for a connection that another member has opened. */
+    public Protocol accept() {
+        return links.accept();
+    }
+
+    /** A planned end: what is left is handed over at once; {@code done} runs when that is said, or can't be. */
+    public void leave(Runnable done) {
+        if (leaving) {
+            return;
+        }
+        leaving = true;
+        ledger.flush();
+        leaveOnceKept(scheduler.now().plus(FLUSH_MOST), done);
+    }
+
+    private void leaveOnceKept(Instant until, Runnable done) {
+        if (seat.isSure() && !ledger.isKept() && scheduler.now().isBefore(until)) {
+            scheduler.after(terms.window().plusMillis(1), () -> leaveOnceKept(until, done));
+            return;
+        }
+        long token = seat.token();
+        LOG.log(Level.INFO, "leaves the group: {0} calls are handed over", Integer.toString(ledger.shared().size()));
+        seat.leave();
+        awaitLeft(token, scheduler.now().plus(LEAVE_MOST), done);
+    }
+
+    private void awaitLeft(long token, Instant until, Runnable done) {
+        if (token != 0 && registrar.seen().isLive(token) && scheduler.now().isBefore(until)) {
+            scheduler.after(Duration.ofMillis(10), () -> awaitLeft(token, until, done));
+            return;
+        }
+        passOnParked();
+        scheduler.after(LAST_WORDS, () -> {
+            stop();
+            done.run();
+        });
+    }
+
+    /** Ends without a word. */
+    public void stop() {
+        stopped = true;
+        client.stop();
+        links.stop();
+    }
+
+    /** What there is to see, as a line for the log. */
+    public String line() {
+        return "lease=" + seat.token() + " sure=" + seat.isSure() + " covered=" + isCovered() + " members=" + registrar.seen().members().size()
+                + " records=" + ledger.size() + " keeps=" + keeping.size() + " taken_over=" + succession.adopted()
+                + " parked=" + parked.size();
+    }
+
+    /** The lease's token; 0 while there is none. */
+    public long token() {
+        return seat.token();
+    }
+
+    /** Whether the lease is sure. */
+    public boolean isSure() {
+        return seat.isSure();
+    }
+
+    /** Whether all of this controller's records are where the register looks for them. */
+    public boolean isCovered() {
+        Register register = registrar.seen();
+        return seat.isSure() && register.covered(seat.token()) == register.view() && ledger.isKept();
+    }
+
+    /** The register as it was last seen. */
+    public Register register() {
+        return registrar.seen();
+    }
+
+    /** Calls of others that this one went on with. */
+    public long adopted() {
+        return succession.adopted();
+    }
+
+    // ---- from the life of a call
+
+    @Override
+    public void sent(String call, long server, Duration patience, CallerPort caller) {
+        ledger.put(CallRecord.sent(call, server, caller.key(), patience));
+    }
+
+    @Override
+    public void attemptOver(String call, long server, Duration wait, CallerPort caller) {
+        ledger.put(CallRecord.waits(call, server, caller.key(), wait));
+    }
+
+    @Override
+    public void stands(String call, long server, CallerPort caller) {
+        loose.remove(call);
+        ledger.put(CallRecord.stands(call, server, caller.key()));
+    }
+
+    @Override
+    public void answer(String call, int callClass, Runnable write) {
+        if (terms.waiting().contains(callClass) && seat.isSure()) {
+            ledger.whenKept(call, terms.waitMost(), write);
+        } else {
+            write.run();
+        }
+    }
+
+    @Override
+    public void owesCaller(String call, CallerPort caller, Ending how) {
+        ledger.put(CallRecord.owesCaller(call, caller == null ? "" : caller.key(), how));
+    }
+
+    @Override
+    public void owesServer(String call, long server) {
+        ledger.put(CallRecord.owesServer(call, server));
+    }
+
+    @Override
+    public void over(String call) {
+        if (unsettled.containsKey(call)) {
+            // Guards against a successor that would go on with it by its former owner's records.
+            ledger.drop(call);
+            ledger.put(CallRecord.over(call));
+        } else {
+            ledger.drop(call);
+        }
+    }
+
+    @Override
+    public boolean mayAct(String call) {
+        return !doubts.contains(call)
+                && (seat.isSure() || !ledger.isShared(call) && !unsettled.containsKey(call));
+    }
+
+    @Override
+    public void park(CallEvent event) {
+        List<CallEvent> all = parked.computeIfAbsent(event.call(), call -> new ArrayList<>());
+        if (all.stream().noneMatch(one -> one.getClass() == event.getClass())) {
+            all.add(event);
+        }
+    }
+
+    @Override
+    public boolean seesTo(CallEvent event) {
+        Loose attempt = loose.remove(event.call());
+        if (attempt != null) {
+            if (event instanceof CallEvent.Ended) {
+                ledger.drop(event.call());
+                return false;   // towards whichever connection from callers there is
+            }
+            over(event.call());
+            controller.owedToServer(event.call(), attempt.record().server());
+            return true;
+        }
+        if (registrar.seen().members().size() < 2 || !strayLimit.take()) {
+            return false;
+        }
+        strays.tell(event);
+        return true;
+    }
+
+    @Override
+    public Duration heldBack(String call) {
+        return keeping.heldBack(call);
+    }
+
+    // ---- from the lease
+
+    @Override
+    public void seated(long token) {
+        freedBy.clear();
+        ledger.begin(token);
+        succession.look();
+        replayParked();
+    }
+
+    @Override
+    public void lapsed() {
+        ledger.pause();
+        freedBy.clear();
+        askToFree();
+    }
+
+    /** Guards calls against a group that can't agree: once no keeper will act on them, this controller may. */
+    private void askToFree() {
+        if (!seat.hasLapsed() || stopped) {
+            return;
+        }
+        long owner = seat.token();
+        ledger.keepers().stream().filter(keeper -> !freedBy.contains(keeper))
+                .forEach(keeper -> links.send(keeper, new PeerMessage.Free(owner)));
+        scheduler.after(TICK, this::askToFree);
+    }
+
+    private void freed(long by, PeerMessage.Freed freed) {
+        if (!freed.free() || freed.owner() != seat.token() || !seat.hasLapsed()) {
+            return;
+        }
+        freedBy.add(by);
+        if (freedBy.containsAll(ledger.keepers())) {
+            LOG.log(Level.INFO, "no agreement can be reached; all keepers have dropped their records, and calls are served "
+                    + "uncovered");
+            seat.emptied();
+            ledger.freed();
+            replayParked();
+        }
+    }
+
+    @Override
+    public void sureAgain() {
+        ledger.resume();
+        replayParked();
+    }
+
+    @Override
+    public void lost(long token) {
+        List<CallRecord> others = ledger.shared();
+        Set<String> gone = new HashSet<>(unsettled.keySet());
+        for (CallRecord record : others) {
+            if (ledger.isAnywhere(record.call()) || unsettled.containsKey(record.call())) {
+                gone.add(record.call());
+            } else {
+                doubts.add(record, token);
+                ledger.forget(record.call());
+            }
+        }
+        gone.addAll(loose.keySet());
+        gone.addAll(unplaced.keySet());
+        LOG.log(Level.WARNING, "others act on {0} calls from now on", Integer.toString(gone.size()));
+        gone.forEach(call -> {
+            controller.disown(call);
+            ledger.forget(call);
+        });
+        ledger.end();
+        succession.stop();
+        unsettled.clear();
+        wentOn.clear();
+        wentOnAt.clear();
+        loose.clear();
+        unplaced.clear();
+        passOnParked();
+    }
+
+    /** What happened while this controller could not act goes to whoever can. */
+    private void passOnParked() {
+        List<Map.Entry<String, List<CallEvent>>> all = new ArrayList<>(parked.entrySet());
+        parked.clear();
+        for (Map.Entry<String, List<CallEvent>> one : all) {
+            if (doubts.contains(one.getKey()) && !leaving) {
+                parked.put(one.getKey(), one.getValue());
+            } else {
+                one.getValue().forEach(strays::tell);
+            }
+        }
+    }
+
+    private void replayParked() {
+        List<List<CallEvent>> all = List.copyOf(parked.values());
+        parked.clear();
+        all.forEach(events -> events.forEach(controller::happened));
+    }
+
+    // ---- from the register and the clock
+
+    private void registerChanged() {
+        if (!registerChanged) {
+            registerChanged = true;
+            // Many may come at once; what is in between concerns nobody.
+            scheduler.after(REGISTER_SETTLES, this::lookAtRegister);
+        }
+        Register register = registrar.seen();
+        if (seat.token() != 0 && !register.isLive(seat.token()) && register.lastToken() >= seat.token()) {
+            seat.seenEnded(seat.token());
+        }
+    }
+
+    private void lookAtRegister() {
+        registerChanged = false;
+        keeping.prune(registrar.seen(), seat.token());
+        ledger.registerChanged();
+        succession.look();
+        strays.deliver();
+    }
+
+    private void tick() {
+        if (stopped) {
+            return;
+        }
+        Instant now = scheduler.now();
+        for (String call : List.copyOf(unplaced.keySet())) {
+            ledger.record(call).ifPresentOrElse(record -> place(record, unplaced.get(call)), () -> unplaced.remove(call));
+        }
+        if (terms.orphans().compareTo(Duration.ZERO) > 0 && seat.isSure()) {
+            for (Loose one : List.copyOf(loose.values())) {
+                if (one.orphanAt.isBefore(now)) {
+                    endOrphan(one.record);
+                }
+            }
+        }
+        strays.deliver();
+        doubts.ask();
+        scheduler.after(TICK, this::tick);
+    }
+
+    /** Nobody has claimed to have this call: if it stands at its server, it stands for nobody. */
+    private void endOrphan(CallRecord record) {
+        loose.remove(record.call());
+        over(record.call());
+        boolean elsewhere = keeping.ownerOf(record.call()).filter(registrar.seen()::isLive).isPresent();
+        if (!elsewhere) {
+            LOG.log(Level.INFO, "call {0} was left open by its controller; it is ended", record.call());
+            controller.owedToServer(record.call(), record.server());
+            controller.owedToCaller(record.call(), new AdoptedCaller(record.caller()), Ending.RESET);
+        }
+    }
+
+    /** Goes on with a call that stands, if the list names its server. */
+    private void place(CallRecord record, Instant until) {
+        String call = record.call();
+        if (controller.adopt(call, record.server(), new AdoptedCaller(record.caller()))) {
+            unplaced.remove(call);
+            keeping.take(call).forEach(controller::happened);
+        } else if (controller.hasGone(record.server()) || !scheduler.now().isBefore(until)) {
+            unplaced.remove(call);
+            over(call);
+            controller.owedToCaller(call, new AdoptedCaller(record.caller()), Ending.RESET);
+        } else {
+            unplaced.put(call, until);
+            ledger.put(record);
+        }
+    }
+
+    private final class SuccessionWork implements Succession.Work {
+
+        @Override
+        public void goOn(CallRecord record, long from, int slot) {
+            Place place = new Place(from, slot);
+            unsettled.put(record.call(), place);
+            wentOn.computeIfAbsent(place, any -> new ArrayList<>()).add(record.call());
+            switch (record.kind()) {
+                case STANDS -> place(record, scheduler.now().plus(NAMED_BY));
+                case SENT, WAITS -> {
+                    loose.put(record.call(), new Loose(record, scheduler.now().plus(record.lasts()).plus(terms.orphans())));
+                    ledger.put(record);
+                    keeping.take(record.call()).forEach(event -> {
+                        if (!seesTo(event)) {
+                            controller.unowned(event);
+                        }
+                    });
+                }
+                case OWES_CALLER -> {
+                    over(record.call());
+                    controller.owedToCaller(record.call(), new AdoptedCaller(record.caller()), record.how());
+                }
+                case OWES_SERVER -> {
+                    over(record.call());
+                    controller.owedToServer(record.call(), record.server());
+                }
+                case OVER -> { }
+            }
+            wentOnAt.put(place, ledger.changes());
+        }
+
+        @Override
+        public boolean isKept(long from, int slot) {
+            return ledger.areKept(wentOnAt.getOrDefault(new Place(from, slot), 0L), slot);
+        }
+
+        @Override
+        public void settled(long from, int slot) {
+            Place place = new Place(from, slot);
+            wentOnAt.remove(place);
+            List<String> calls = wentOn.remove(place);
+            for (String call : calls == null ? List.<String>of() : calls) {
+                if (unsettled.remove(call, place)) {
+                    ledger.record(call).filter(record -> record.kind() == CallRecord.Kind.OVER)
+                            .ifPresent(record -> ledger.drop(call));
+                }
+            }
+        }
+
+        @Override
+        public void send(long member, PeerMessage message) {
+            links.send(member, message);
+        }
+    }
+
+    private final class LedgerOut implements Ledger.Out {
+
+        @Override
+        public boolean isUp(long keeper) {
+            return links.isUp(keeper);
+        }
+
+        @Override
+        public void send(long keeper, PeerMessage message) {
+            links.send(keeper, message);
+        }
+
+        @Override
+        public void wanted(Set<Long> keepers) {
+            links.wanted(keepers);
+        }
+    }
+
+    private final class DoubtsOut implements Doubts.Out {
+
+        @Override
+        public long self() {
+            return seat.token();
+        }
+
+        @Override
+        public void send(long member, PeerMessage message) {
+            links.send(member, message);
+        }
+
+        @Override
+        public void own(CallRecord record) {
+            if (controller.stands(record.call())) {
+                ledger.put(record);
+                List<CallEvent> happened = parked.remove(record.call());
+                if (happened != null) {
+                    happened.forEach(controller::happened);
+                }
+            }
+        }
+
+        @Override
+        public void others(String call) {
+            controller.disown(call);
+            List<CallEvent> happened = parked.remove(call);
+            if (happened != null) {
+                happened.forEach(strays::tell);
+            }
+        }
+    }
+
+    private final class StraysOut implements Strays.Out {
+
+        @Override
+        public long self() {
+            return seat.token();
+        }
+
+        @Override
+        public void send(long member, PeerMessage message) {
+            links.send(member, message);
+        }
+
+        @Override
+        public void nobody(CallEvent event) {
+            controller.unowned(event);
+        }
+    }
+
+    private final class Incoming implements Links.Handler {
+
+        @Override
+        public void up(long member) {
+            ledger.linkUp(member);
+        }
+
+        @Override
+        public void received(long from, long stream, PeerMessage message, Consumer<PeerMessage> answer) {
+            if (message instanceof PeerMessage.Slot slot) {
+                if (mayStillSend(slot.owner())) {
+                    keeping.slot(slot, stream);
+                }
+            } else if (message instanceof PeerMessage.Changes changes) {
+                if (mayStillSend(changes.owner())) {
+                    keeping.changes(changes, stream);
+                }
+                if (changes.upTo() >= 0) {
+                    answer.accept(keeping.upTo(changes.owner()));
+                }
+            } else if (message instanceof PeerMessage.Placed placed) {
+                answer.accept(keeping.placed(placed, stream));
+            } else if (message instanceof PeerMessage.Kept kept) {
+                ledger.kept(from, kept);
+            } else if (message instanceof PeerMessage.Pull pull) {
+                answer.accept(keeping.copy(pull.owner(), pull.slot())
+                        .map(copy -> new PeerMessage.Pulled(pull.owner(), pull.slot(), copy.upTo(), copy.records()))
+                        .orElse(new PeerMessage.Pulled(pull.owner(), pull.slot(), -1, List.of())));
+            } else if (message instanceof PeerMessage.Pulled pulled) {
+                succession.pulled(from, pulled);
+            } else if (message instanceof PeerMessage.Told told) {
+                answer.accept(new PeerMessage.Known(told.ask(), told(told.event())));
+            } else if (message instanceof PeerMessage.Known known) {
+                strays.known(known);
+                doubts.known(known);
+            } else if (message instanceof PeerMessage.Asked asked) {
+                answer.accept(new PeerMessage.Known(asked.ask(), keeping.ownerOf(asked.call()).isPresent()
+                        || controller.stands(asked.call()) && !doubts.contains(asked.call())
+                        || unplaced.containsKey(asked.call())));
+            } else if (message instanceof PeerMessage.Free free) {
+                boolean may = !succession.hasClaimed(free.owner());
+                List<CallEvent> happened = may ? keeping.free(free.owner()) : List.of();
+                happened.forEach(event -> answer.accept(new PeerMessage.Told(0, event)));
+                answer.accept(new PeerMessage.Freed(free.owner(), may));
+            } else if (message instanceof PeerMessage.Freed freed) {
+                freed(from, freed);
+            }
+        }
+
+        /** Guards what was said of a lease that has ended: what its owner sent then and comes now was never kept. */
+        private boolean mayStillSend(long owner) {
+            Register register = registrar.seen();
+            return owner > register.lastToken() || register.isLive(owner);
+        }
+
+        /** Another member heard of something: whether it is seen to. */
+        private boolean told(CallEvent event) {
+            if (controller.stands(event.call())) {
+                boolean may = mayAct(event.call());
+                if (may) {
+                    controller.happened(event);
+                } else {
+                    park(event);   // and it stays with whoever told it too
+                }
+                return may;
+            }
+            Loose attempt = loose.get(event.call());
+            if (attempt != null) {
+                if (!seesTo(event)) {
+                    controller.unowned(event);
+                }
+                return true;
+            }
+            if (unplaced.containsKey(event.call())) {
+                keeping.happened(event);
+                return true;
+            }
+            return strays.keep(event);
+        }
+    }
+
+    /** The slot of a call, for pages and tests. */
+    public static int slotOf(String call) {
+        return Placement.slot(call);
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/pathlane/lab/Checker.java
@@ -0,0 +1,152 @@
+package pathlane.lab;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import pathlane.lab.History.Event;
+import pathlane.lab.Witness.What;
+
+/**
+ * Judges a history over the whole group, call by call: one final answer, never two attempts out, nothing new at a server
+ * over a second after its drain was told, 200 ms after a lost attempt, and, for what stands, that a release finds its
+ * server, an end finds its caller, and nothing is left standing. Names the first broken rule with the call's trace.
+ */
+public final class Checker {
+
+    /**
+     * A rule that was broken.
+     *
+     * @param trace all that happened to the call, or around it
+     */
+    public record Broken(String rule, String what, List<Event> trace) {
+
+        @Override
+        public String toString() {
+            StringBuilder text = new StringBuilder(rule).append(": ").append(what);
+            trace.forEach(event -> text.append("\n    ").append(event));
+            return text.toString();
+        }
+    }
+
+    private static final long MILLI = 1_000_000;
+    private static final long GAP = 200 * MILLI;
+    private static final long DRAIN = 1_050 * MILLI;
+
+    private final Map<String, List<Event>> byCall = new LinkedHashMap<>();
+    private final Map<String, Long> drainTold = new HashMap<>();
+    private final List<Broken> broken = new ArrayList<>();
+    private final boolean ended;
+
+    /** {@code ended}: the history is whole, and what has not come by its end never came. */
+    public Checker(List<Event> history, boolean ended) {
+        this.ended = ended;
+        for (Event event : history) {
+            if (event.what() == What.DRAIN_TOLD) {
+                drainTold.putIfAbsent(event.who(), event.atNanos());
+            }
+            if (!event.call().isEmpty()) {
+                byCall.computeIfAbsent(event.call(), call -> new ArrayList<>()).add(event);
+            }
+        }
+        byCall.forEach(this::judge);
+        broken.sort(java.util.Comparator.comparingLong(one -> one.trace.get(one.trace.size() - 1).atNanos()));
+    }
+
+    /** Every broken rule, the first first. */
+    public List<Broken> broken() {
+        return broken;
+    }
+
+    /** The first broken rule. */
+    public Optional<Broken> first() {
+        return broken.stream().findFirst();
+    }
+
+    private void judge(String call, List<Event> events) {
+        Set<String> out = new HashSet<>();
+        Set<String> standsAt = new HashSet<>();
+        long lostAt = Long.MIN_VALUE;
+        int answers = 0;
+        int told = 0;
+        boolean asked = false;
+        boolean callerHasIt = false;
+        boolean callerLeft = false;
+        for (Event event : events) {
+            switch (event.what()) {
+                case ASKED -> asked = true;
+                case REACHED -> {
+                    if (!out.isEmpty() || !standsAt.isEmpty()) {
+                        fail("one attempt at a time", call + " reached " + event.who() + " while it was at " + out
+                                + standsAt, events, event);
+                    }
+                    if (lostAt != Long.MIN_VALUE && event.atNanos() - lostAt < GAP) {
+                        fail("200 ms after a lost attempt", call + " reached " + event.who() + " "
+                                + (event.atNanos() - lostAt) / MILLI + " ms after", events, event);
+                    }
+                    Long drain = drainTold.get(event.who());
+                    if (drain != null && event.atNanos() - drain > DRAIN) {
+                        fail("nothing new to a server that drains", call + " reached " + event.who() + " "
+                                + (event.atNanos() - drain) / MILLI + " ms after its drain was told", events, event);
+                    }
+                    out.add(event.who());
+                }
+                case STOOD -> {
+                    out.remove(event.who());
+                    standsAt.add(event.who());
+                }
+                case TURNED_AWAY -> out.remove(event.who());
+                case GIVEN_UP -> {
+                    if (out.remove(event.who())) {
+                        lostAt = event.atNanos();
+                    }
+                }
+                case ENDED, HEARD_RELEASE -> standsAt.remove(event.who());
+                case GONE -> { }
+                case ANSWERED, REFUSED, FAILED -> {
+                    if (++answers > 1) {
+                        fail("one final answer", call + " was answered again", events, event);
+                    }
+                    callerHasIt = event.what() == What.ANSWERED;
+                }
+                case BROKEN -> callerLeft = true;
+                case RELEASED -> {
+                    callerHasIt = false;
+                    told++;
+                }
+                case TOLD_OVER -> {
+                    callerHasIt = false;
+                    told++;
+                }
+                default -> { }
+            }
+        }
+        if (ended) {
+            judgeEnd(call, events, new End(asked, answers, told, callerHasIt, callerLeft, standsAt));
+        }
+    }
+
+    private record End(boolean asked, int answers, int told, boolean callerHasIt, boolean callerLeft,
+                       Set<String> standsAt) { }
+
+    private void judgeEnd(String call, List<Event> events, End end) {
+        Event last = events.get(events.size() - 1);
+        if (end.asked && end.answers == 0 && !end.callerLeft) {
+            fail("one final answer", call + " was never answered", events, last);
+        }
+        if (end.callerHasIt && end.standsAt.isEmpty()) {
+            fail("an end finds its caller", call + " is over, and its caller was not told", events, last);
+        }
+        if (!end.standsAt.isEmpty() && !end.callerHasIt) {
+            fail("nothing is left standing", call + " stands at " + end.standsAt + " for nobody", events, last);
+        }
+    }
+
+    private void fail(String rule, String what, List<Event> events, Event at) {
+        broken.add(new Broken(rule, what, List.copyOf(events.subList(0, events.indexOf(at) + 1))));
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/pathlane/lab/Faults.java
@@ -0,0 +1,82 @@
+package pathlane.lab;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * What is wrong with the way from one party to another, in that direction alone. Parties are named; {@code *} stands for
+ * all. One thread at a time.
+ */
+public final class Faults {
+
+    /** One direction of all connections between two parties. */
+    static final class Way {
+        Duration delay = Duration.ZERO;
+        boolean cut;
+        /** Bytes a second; 0 for as many as there are. */
+        long throttle;
+        final List<Runnable> onRestored = new ArrayList<>();
+    }
+
+    private final Map<String, Way> ways = new HashMap<>();
+    private final List<Path> paths = new ArrayList<>();
+
+    Way way(String from, String to) {
+        return ways.computeIfAbsent(from + ">" + to, any -> new Way());
+    }
+
+    void opened(Path path) {
+        paths.add(path);
+    }
+
+    void closed(Path path) {
+        paths.remove(path);
+    }
+
+    /** Nothing goes this way any more; what is written waits, as TCP has it, until it is restored or given up. */
+    public void cut(String from, String to) {
+        way(from, to).cut = true;
+    }
+
+    /** What was held goes on its way. */
+    public void restore(String from, String to) {
+        Way way = way(from, to);
+        way.cut = false;
+        List<Runnable> waiting = List.copyOf(way.onRestored);
+        way.onRestored.clear();
+        waiting.forEach(Runnable::run);
+    }
+
+    /** Everything takes so much longer this way. */
+    public void delay(String from, String to, Duration delay) {
+        way(from, to).delay = delay;
+    }
+
+    /** So many bytes a second go this way on each connection; 0 for as many as there are. */
+    public void throttle(String from, String to, long bytesEachSecond) {
+        way(from, to).throttle = bytesEachSecond;
+    }
+
+    /** All connections between the two are reset. */
+    public void reset(String one, String other) {
+        List.copyOf(paths).stream().filter(path -> path.joins(one, other)).forEach(Path::reset);
+    }
+
+    /** One side of each connection between the two is told that it has ended, and the other is not. */
+    public void halfClose(String told, String other) {
+        List.copyOf(paths).stream().filter(path -> path.joins(told, other)).forEach(path -> path.halfClose(told));
+    }
+
+    /** A party's process is gone: each of its connections ends, at the other side. */
+    public void gone(String party) {
+        List.copyOf(paths).stream().filter(path -> path.isOf(party)).forEach(path -> path.gone(party));
+    }
+
+    /** Connections that are open between two. */
+    public int open(String one, String other) {
+        return (int) paths.stream().filter(path -> path.joins(one, other)).count();
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/pathlane/lab/Path.java
@@ -0,0 +1,175 @@
+package pathlane.lab;
+
+import java.nio.ByteBuffer;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import pathlane.core.ConnectionEnd;
+import pathlane.core.Scheduler;
+import pathlane.link.Connection;
+import pathlane.link.Protocol;
+
+/**
+ * One connection between two state machines, with what is wrong on the way in each direction. Bytes keep their order. A
+ * state machine without a socket: the rig puts sockets at its ends, the virtual fleet the machines themselves.
+ */
+final class Path {
+
+    private static final long SECOND = 1_000_000_000L;
+
+    private final class End implements Connection {
+        final String name;
+        final Protocol protocol;
+        final Faults.Way out;
+        final Deque<byte[]> held = new ArrayDeque<>();
+        End other;
+        boolean open = true;
+        Instant busyUntil = Instant.MIN;
+
+        End(String name, Protocol protocol, Faults.Way out) {
+            this.name = name;
+            this.protocol = protocol;
+            this.out = out;
+        }
+
+        @Override
+        public void write(byte[] bytes) {
+            if (open && bytes.length > 0) {
+                enqueue(bytes);
+            }
+        }
+
+        @Override
+        public void close(ConnectionEnd why) {
+            if (open) {
+                open = false;
+                enqueue(CLOSE);
+                scheduler.after(Duration.ZERO, () -> ended(this, why));
+            }
+        }
+
+        private void enqueue(byte[] bytes) {
+            if (out.cut || !held.isEmpty()) {
+                if (held.isEmpty()) {
+                    out.onRestored.add(this::flush);
+                }
+                held.add(bytes);
+            } else {
+                leave(bytes);
+            }
+        }
+
+        private void flush() {
+            while (!held.isEmpty() && !out.cut) {
+                leave(held.poll());
+            }
+            if (!held.isEmpty()) {
+                out.onRestored.add(this::flush);
+            }
+        }
+
+        private void leave(byte[] bytes) {
+            Instant now = scheduler.now();
+            Instant from = busyUntil.isAfter(now) ? busyUntil : now;
+            Duration takes = out.throttle == 0 ? Duration.ZERO : Duration.ofNanos(bytes.length * SECOND / out.throttle);
+            busyUntil = from.plus(takes);
+            Duration after = Duration.between(now, busyUntil).plus(latency).plus(out.delay);
+            Instant at = now.plus(after);
+            // Guards the order where a delay is taken back.
+            arrivesAt = at.isAfter(arrivesAt) ? at : arrivesAt;
+            scheduler.after(Duration.between(now, arrivesAt), () -> arrive(bytes));
+        }
+
+        private Instant arrivesAt = Instant.MIN;
+
+        private void arrive(byte[] bytes) {
+            if (bytes == CLOSE) {
+                if (other.open) {
+                    other.open = false;
+                    ended(other, ConnectionEnd.CLOSED_BY_PEER);
+                }
+            } else if (other.open) {
+                other.protocol.received(ByteBuffer.wrap(bytes));
+            }
+        }
+
+        @Override
+        public boolean isStuck() {
+            return !held.isEmpty();
+        }
+
+        @Override
+        public String remote() {
+            return other.name;
+        }
+    }
+
+    private static final byte[] CLOSE = {};
+
+    private final Scheduler scheduler;
+    private final Faults faults;
+    private final Duration latency;
+    private final End near;
+    private final End far;
+    private int ends;
+
+    /** Opens both ends at once. */
+    Path(Scheduler scheduler, Faults faults, Duration latency, String nearName, Protocol near, String farName,
+         Protocol far) {
+        this.scheduler = scheduler;
+        this.faults = faults;
+        this.latency = latency;
+        this.near = new End(nearName, near, faults.way(nearName, farName));
+        this.far = new End(farName, far, faults.way(farName, nearName));
+        this.near.other = this.far;
+        this.far.other = this.near;
+        faults.opened(this);
+        far.opened(this.far);
+        near.opened(this.near);
+    }
+
+    private void ended(End end, ConnectionEnd why) {
+        if (++ends == 2) {
+            faults.closed(this);
+        }
+        end.protocol.closed(why);
+    }
+
+    boolean isOf(String party) {
+        return near.name.equals(party) || far.name.equals(party);
+    }
+
+    boolean joins(String one, String other) {
+        return near.name.equals(one) && far.name.equals(other) || near.name.equals(other) && far.name.equals(one);
+    }
+
+    void reset() {
+        end(near, ConnectionEnd.RESET);
+        end(far, ConnectionEnd.RESET);
+    }
+
+    void halfClose(String told) {
+        end(near.name.equals(told) ? near : far, ConnectionEnd.RESET);
+    }
+
+    /** A process has gone: its side is not told, the other one is once the news gets through. */
+    void gone(String party) {
+        End dead = near.name.equals(party) ? near : far;
+        if (dead.open) {
+            dead.open = false;
+            ends++;
+            dead.enqueue(CLOSE);
+            if (ends == 2) {
+                faults.closed(this);
+            }
+        }
+    }
+
+    private void end(End end, ConnectionEnd why) {
+        if (end.open) {
+            end.open = false;
+            ended(end, why);
+        }
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/pathlane/lab/VirtualVoter.java
@@ -0,0 +1,106 @@
+package pathlane.lab;
+
+import io.microraft.model.message.RaftMessage;
+import java.util.List;
+import java.util.Random;
+import java.util.SplittableRandom;
+import pathlane.core.Scheduler;
+import pathlane.group.Keys;
+import pathlane.group.LeaseTerms;
+import pathlane.group.SealedLink;
+import pathlane.group.Voter;
+import pathlane.link.LimitedLog;
+import pathlane.link.Protocol;
+import pathlane.voter.RaftLog;
+
+/** A voter of the virtual fleet: the real one, with a disk in memory and messages that are lost where the way is cut. */
+public final class VirtualVoter {
+
+    private static final int NONCE_BYTES = 16;
+
+    private final String name;
+    private final Scheduler world;
+    private final Faults faults;
+    private final SplittableRandom random;
+    private final LeaseTerms lease;
+    private final Keys keys;
+    private final MemoryStore store = new MemoryStore();
+    private List<VirtualVoter> voters = List.of();
+    private ProcessTime time;
+    private Voter voter;
+    private RaftLog log;
+
+    VirtualVoter(String name, Scheduler world, Faults faults, SplittableRandom random, LeaseTerms lease,
+                 Keys keys) {
+        this.name = name;
+        this.world = world;
+        this.faults = faults;
+        this.random = random;
+        this.lease = lease;
+        this.keys = keys;
+    }
+
+    String name() {
+        return name;
+    }
+
+    boolean isUp() {
+        return time != null && !time.isDead();
+    }
+
+    Protocol accept() {
+        return time.own(voter.accept());
+    }
+
+    void start(List<VirtualVoter> among) {
+        voters = among;
+        time = new ProcessTime(world, 1 + (random.nextDouble() - 0.5) * 2 * lease.drift() * 0.9);
+        ProcessTime own = time;
+        SealedLink.Common common = new SealedLink.Common(name, () -> keys, () -> {
+            byte[] nonce = new byte[NONCE_BYTES];
+            random.nextBytes(nonce);
+            return nonce;
+        }, own, new LimitedLog("register", own));
+        voter = new Voter(lease, common, own::nanos);
+        log = new RaftLog(name, voters.stream().map(VirtualVoter::name).toList(), voter, own, own::nanos,
+                new RaftLog.Sender() {
+                    @Override
+                    public void send(String to, RaftMessage message) {
+                        VirtualVoter other = voters.get(Integer.parseInt(to.substring(1)) - 1);
+                        if (!faults.way(name, to).cut) {
+                            world.after(VirtualFleet.LATENCY, () -> other.received(message));
+                        }
+                    }
+
+                    @Override
+                    public boolean isReachable(String to) {
+                        return !faults.way(name, to).cut;
+                    }
+                }, store, store.restored(), new Random(random.nextLong()));
+        log.start();
+        voter.start(log);
+    }
+
+    private void received(RaftMessage message) {
+        if (isUp()) {
+            time.run(() -> log.received(message));
+        }
+    }
+
+    /** Its process dies; its disk stays. */
+    void kill() {
+        if (isUp()) {
+            time.kill();
+            faults.gone(name);
+        }
+    }
+
+    void restart() {
+        start(voters);
+    }
+
+    /** Whether this voter leads. */
+    public boolean leads() {
+        return isUp() && log.leads();
+    }
+}
--- a/standin/src/main/java/pathlane/standin/VirtualTime.java
+++ b/standin/src/main/java/pathlane/standin/VirtualTime.java
@@ -2,7 +2,7 @@
 
 import java.time.Duration;
 import java.time.Instant;
-import java.util.PriorityQueue;
+import java.util.TreeSet;
 import pathlane.core.Scheduler;
 
 /** Time that moves when it is told to: tasks run in the order in which they are due, those due together as asked for. */
@@ -16,7 +16,7 @@
         }
     }
 
-    private final PriorityQueue<Due> due = new PriorityQueue<>();
+    private final TreeSet<Due> due = new TreeSet<>();
     private Instant now = Instant.parse("2026-01-01T00:00:00Z");
     private long order;
 
@@ -45,8 +45,8 @@
     /** Runs all that is due within this time, and leaves the clock at its end. */
     public void pass(Duration time) {
         Instant end = now.plus(time);
-        while (!due.isEmpty() && !due.peek().at().isAfter(end)) {
-            Due next = due.poll();
+        while (!due.isEmpty() && !due.first().at().isAfter(end)) {
+            Due next = due.pollFirst();
             now = next.at();
             next.task().run();
         }
--- /dev/null
+++ b/voter/src/main/java/pathlane/voter/VoterFile.java
@@ -0,0 +1,107 @@
+package pathlane.voter;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Set;
+import org.tomlj.Toml;
+import org.tomlj.TomlArray;
+import org.tomlj.TomlParseResult;
+import pathlane.config.file.NodeConfig;
+import pathlane.group.Keys;
+import pathlane.group.LeaseTerms;
+
+/**
+ * The file of a voter, in TOML.
+ *
+ * @param name its name among the voters
+ * @param members where members come
+ * @param voters all voters by name, this one too, and where they reach each other
+ * @param keys the file of the group's keys
+ * @param store the folder of its log
+ */
+public record VoterFile(String name, InetSocketAddress members, Map<String, InetSocketAddress> voters, Path keys,
+                        Path store, LeaseTerms lease) {
+
+    private static final Set<String> KNOWN = Set.of("name", "members", "voters", "keys", "store", "lease",
+            "lease.length-ms", "lease.drift", "lease.write-lag-ms");
+
+    /**
+     * Reads the file.
+     *
+     * @throws IllegalArgumentException with one sentence that says what is wrong, and where
+     */
+    public static VoterFile read(Path file) {
+        TomlParseResult toml;
+        try {
+            toml = Toml.parse(file);
+        } catch (IOException e) {
+            throw new IllegalArgumentException("the voter's file " + file + " can't be read", e);
+        }
+        if (toml.hasErrors()) {
+            throw new IllegalArgumentException(file + " line " + toml.errors().get(0).position().line() + ": "
+                    + toml.errors().get(0).getMessage());
+        }
+        for (String key : toml.dottedKeySet()) {
+            if (!KNOWN.contains(key)) {
+                throw new IllegalArgumentException(file + " line " + toml.inputPositionOf(key).line() + ": '" + key
+                        + "' is no key; there are " + String.join(", ", KNOWN.stream().sorted().toList()));
+            }
+        }
+        try {
+            return read(file, toml);
+        } catch (RuntimeException e) {
+            throw new IllegalArgumentException(file + ": " + e.getMessage(), e);
+        }
+    }
+
+    private static VoterFile read(Path file, TomlParseResult toml) {
+        String name = text(toml, "name");
+        Map<String, InetSocketAddress> voters = new LinkedHashMap<>();
+        TomlArray array = toml.getArray("voters");
+        for (int i = 0; array != null && i < array.size(); i++) {
+            String[] parts = array.getString(i).split("=", 2);
+            if (parts.length != 2 || voters.put(parts[0], NodeConfig.address(parts[1])) != null) {
+                throw new IllegalArgumentException("'voters' has '" + array.getString(i)
+                        + "'; right would be a name of its own, '=' and an address with a port");
+            }
+        }
+        if (!voters.containsKey(name) || voters.size() % 2 == 0) {
+            throw new IllegalArgumentException("'voters' are " + voters.keySet()
+                    + "; right would be an odd number, '" + name + "' among them");
+        }
+        return new VoterFile(name, NodeConfig.address(text(toml, "members")), voters,
+                file.toAbsolutePath().resolveSibling(text(toml, "keys")),
+                file.toAbsolutePath().resolveSibling(text(toml, "store")), lease(toml));
+    }
+
+    private static LeaseTerms lease(TomlParseResult toml) {
+        Long length = toml.getLong("lease.length-ms");
+        Double drift = toml.getDouble("lease.drift");
+        Long lag = toml.getLong("lease.write-lag-ms");
+        LeaseTerms usual = LeaseTerms.USUAL;
+        return new LeaseTerms(length == null ? usual.length() : Duration.ofMillis(length),
+                drift == null ? usual.drift() : drift, lag == null ? usual.writeLag() : Duration.ofMillis(lag));
+    }
+
+    private static String text(TomlParseResult toml, String key) {
+        String text = toml.getString(key);
+        if (text == null) {
+            throw new IllegalArgumentException("'" + key + "' is missing");
+        }
+        return text;
+    }
+
+    /** Reads the keys that the file names. */
+    public Keys readKeys() {
+        try {
+            return Keys.read(Files.readString(keys));
+        } catch (IOException e) {
+            throw new IllegalArgumentException("the keys' file " + keys + " can't be read", e);
+        }
+    }
+}
--- /dev/null
+++ b/voter/src/main/java/pathlane/voter/VoterMain.java
@@ -0,0 +1,178 @@
+package pathlane.voter;
+
+import io.microraft.model.impl.DefaultRaftModelFactory;
+import io.microraft.model.message.RaftMessage;
+import io.microraft.store.sqlite.RaftSqliteStore;
+import java.io.IOException;
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.security.SecureRandom;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.Map;
+import pathlane.core.ConnectionEnd;
+import pathlane.group.Keys;
+import pathlane.group.SealedLink;
+import pathlane.group.Voter;
+import pathlane.link.LimitedLog;
+import pathlane.net.EventLoop;
+import pathlane.net.Network;
+import sun.misc.Signal;
+
+/** Starts a voter: {@code java -jar pathlane-voter.jar FILE}. It ends at SIGTERM, and reads its keys again at SIGHUP. */
+public final class VoterMain {
+
+    private static final Logger LOG = System.getLogger("register");
+    private static final Duration DIAL_TIMEOUT = Duration.ofMillis(500);
+    private static final Duration REDIAL = Duration.ofMillis(200);
+    private static final int MOST_MEMBERS = 1024;
+    private static final int MOST_VOTERS = 64;
+    private static final long MOST_UNWRITTEN = 16L << 20;
+    private static final int NONCE_BYTES = 16;
+
+    private final VoterFile file;
+    private final EventLoop loop = new EventLoop();
+    private final Network network = new Network(loop);
+    private final RaftCodec codec = new RaftCodec();
+    private final Map<String, Away> others = new HashMap<>();
+    private final SealedLink.Common common;
+    private Keys keys;
+    private RaftLog log;
+
+    private VoterMain(VoterFile file) {
+        this.file = file;
+        this.keys = file.readKeys();
+        SecureRandom random = new SecureRandom();
+        this.common = new SealedLink.Common(file.name(), () -> keys, () -> {
+            byte[] nonce = new byte[NONCE_BYTES];
+            random.nextBytes(nonce);
+            return nonce;
+        }, loop, new LimitedLog("register", loop));
+    }
+
+    /** Runs until the process is asked to end; a file that can't be used ends it with one sentence. */
+    public static void main(String[] args) {
+        if (args.length != 1) {
+            System.err.println("usage: java -jar pathlane-voter.jar FILE");
+            System.exit(2);
+        }
+        try {
+            new VoterMain(VoterFile.read(Path.of(args[0]))).run();
+        } catch (IllegalArgumentException | IOException e) {
+            System.err.println("pathlane: " + e.getMessage());
+            System.exit(1);
+        }
+    }
+
+    private void run() throws IOException {
+        Files.createDirectories(file.store());
+        RaftSqliteStore store = RaftSqliteStore.create(file.store().resolve("raft.db").toFile(),
+                new DefaultRaftModelFactory(), codec);
+        Voter voter = new Voter(file.lease(), common, System::nanoTime);
+        InetSocketAddress own = file.voters().get(file.name());
+        network.listen(own, () -> new SealedLink(common, false, new Incoming()), MOST_VOTERS, MOST_UNWRITTEN);
+        InetSocketAddress bound = network.listen(file.members(), voter::accept, MOST_MEMBERS, MOST_UNWRITTEN);
+        loop.execute(() -> {
+            file.voters().forEach((name, address) -> {
+                if (!name.equals(file.name())) {
+                    others.put(name, new Away(name, address));
+                }
+            });
+            others.values().forEach(Away::dial);
+            log = new RaftLog(file.name(), new ArrayList<>(file.voters().keySet()), voter, loop, System::nanoTime,
+                    new RaftLog.Sender() {
+                        @Override
+                        public void send(String to, RaftMessage message) {
+                            others.get(to).send(message);
+                        }
+
+                        @Override
+                        public boolean isReachable(String to) {
+                            return others.get(to).link.isUp();
+                        }
+                    }, store, store.getRestoredRaftState(true), new SecureRandom());
+            log.start();
+            voter.start(log);
+        });
+        Signal.handle(new Signal("HUP"), signal -> loop.execute(this::reload));
+        LOG.log(Level.INFO, "{0} votes for members on {1}", file.name(), bound);
+    }
+
+    private void reload() {
+        try {
+            keys = file.readKeys();
+            LOG.log(Level.INFO, "keys read again: {0}", Integer.toString(keys.keys().size()));
+        } catch (IllegalArgumentException e) {
+            LOG.log(Level.WARNING, "keys not read again, the old ones stay: {0}", e.getMessage());
+        }
+    }
+
+    private void received(byte[] payload) {
+        if (log != null) {
+            log.received(codec.message(payload));
+        }
+    }
+
+    /** The way to another voter: dialled again for as long as it takes. */
+    private final class Away implements SealedLink.Upper {
+
+        private final String name;
+        private final InetSocketAddress address;
+        private SealedLink link;
+
+        Away(String name, InetSocketAddress address) {
+            this.name = name;
+            this.address = address;
+            this.link = new SealedLink(common, true, this);
+        }
+
+        void dial() {
+            link = new SealedLink(common, true, this);
+            network.dial(address, DIAL_TIMEOUT, link);
+        }
+
+        void send(RaftMessage message) {
+            if (link.isUp()) {
+                link.write(codec.bytes(message));
+            }
+        }
+
+        @Override
+        public void up(SealedLink up, String says) {
+            LOG.log(Level.INFO, "voter {0} is reached", name);
+        }
+
+        @Override
+        public void message(byte[] payload) {
+            received(payload);
+        }
+
+        @Override
+        public void down(ConnectionEnd end) {
+            loop.after(REDIAL, this::dial);
+        }
+    }
+
+    private final class Incoming implements SealedLink.Upper {
+
+        @Override
+        public void up(SealedLink up, String name) {
+            // Who it is stands in each message.
+        }
+
+        @Override
+        public void message(byte[] payload) {
+            received(payload);
+        }
+
+        @Override
+        public void down(ConnectionEnd end) {
+            // It is dialled again from the other side.
+        }
+    }
+
+}
