What has not left is taken back when its caller goes; closes in order; late words of an earlier attempt

Read line by line for events that can cross, each shown by a test that fails on the code before: - A caller's close was read one turn of the loop after its set-up, so a loop that was behind sent the set-up for nobody; a cancellation in the same read sent it and its give-up (CallerGoneTest; Driver.write, Network.listen). Now reads go on until nothing is there, messages wait in Driver until the turn's closes have been told, and a set-up that has not begun to leave is withdrawn. Where it is behind an unread rest, or its give-up would be, the connection is broken off: the next attempt could go out beside it. - A connection closed here as idle, or to make room, dropped what the server had written before it saw the close: an end of a standing call was lost where other connections stayed up. It is half-closed now and read to its end. - A caller's connection that seemed idle gave way to a new one with a set-up unread in it. Admission of the new one waits until what is there has been read. - A late refusal of an attempt that was given up counted as the end of the next attempt at the same server, also while that one waited for a connection: a third was sent beside it (late-refusal.txt). The next attempt goes over another connection, and what the first still brings is passed over. - A release written to a connection that broke before anything more was heard was never sent again; it goes out on the next one too (release-again.txt). - An answer without a description was passed on as an empty one, and a release without a cause closed the connection with all that was out there; each now ends its own call alone (unusable-answers.txt). bad-input.txt shows the close by a message of an unknown type instead of that release. - At SIGTERM the program ended by the clock alone: a connection accepted and not yet read, or an answer not yet written, was lost. It ends once a whole turn has brought nothing and all has been written, and parts in order.

--- a/core/src/main/java/pathlane/config/Settings.java
+++ b/core/src/main/java/pathlane/config/Settings.java
@@ -93,6 +93,11 @@
         return Millis.of(mostRetryAfter);
     }
 
+    /** No caller waits for its answer for longer: callers wait for a part of their class's deadline, or a little more. */
+    public Duration longestPatience() {
+        return classes.stream().map(CallClass::deadline).max(Duration::compareTo).orElseThrow().multipliedBy(2);
+    }
+
     /** The place of a class in the list, or -1 where none has the name. */
     public int classNamed(String name) {
         for (int i = 0; i < classes.size(); i++) {
--- a/core/src/main/java/pathlane/core/ConnectionEnd.java
+++ b/core/src/main/java/pathlane/core/ConnectionEnd.java
@@ -36,6 +36,8 @@
     DISCONNECTED(Ending.RESET),
     /** We closed it: the server has gone from the list. */
     DELISTED(Ending.RESET),
+    /** We closed it: this program ends. */
+    ENDED(Ending.RESET),
     /** We closed it: the configuration that was read again names another address. */
     REPLACED(Ending.RESET);
 
--- a/core/src/main/java/pathlane/link/Admission.java
+++ b/core/src/main/java/pathlane/link/Admission.java
@@ -26,7 +26,7 @@
      * @param close closes this one, should it have to give way
      */
     public boolean admit(Protocol protocol, Consumer<ConnectionEnd> close) {
-        if (held.size() >= most) {
+        if (isFull()) {
             Protocol idlest = null;
             for (Protocol one : held.keySet()) {
                 Instant since = one.idleSince();
@@ -43,6 +43,11 @@
         return true;
     }
 
+    /** Whether the next connection needs one that gives way. */
+    public boolean isFull() {
+        return held.size() >= most;
+    }
+
     /** A connection has ended. */
     public void ended(Protocol protocol) {
         held.remove(protocol);
--- a/daemon/src/main/java/pathlane/Node.java
+++ b/daemon/src/main/java/pathlane/Node.java
@@ -14,6 +14,7 @@
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
+import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
 import pathlane.config.file.CallerLimits;
 import pathlane.config.file.ConfigFile;
@@ -21,6 +22,7 @@
 import pathlane.config.file.NodeConfig;
 import pathlane.config.Settings;
 import pathlane.core.CallController;
+import pathlane.core.Counters;
 import pathlane.core.Cover;
 import pathlane.diameter.DiameterFront;
 import pathlane.link.Protocol;
@@ -41,6 +43,10 @@
     /** A start waits so long for the event bus. */
     private static final Duration MOST_WITHOUT_BUS = Duration.ofSeconds(3);
     private static final Duration END_CHECK = Duration.ofMillis(20);
+    /** Callers that keep coming hold an end up for so long after {@link #STILL_COMING} at the most. */
+    private static final Duration COMING_MOST = Duration.ofSeconds(2);
+    /** What was written last, and then the callers' own closes, are each waited for so long at the most. */
+    private static final Duration LAST_WORDS = Duration.ofMillis(500);
 
     /** A front: who decides its calls, what meets its callers, and how it parts from its peers at the end, and what it
      * does when its configuration is to be read again. */
@@ -52,6 +58,8 @@
     private final CountDownLatch ended = new CountDownLatch(1);
     private volatile Front front;
     private volatile boolean ending;
+    /** Whether callers may have been taken: a program that is asked to end before that has nothing to see to. */
+    private volatile boolean listens;
 
     /** Starts a call controller on the platform; it serves until the process is asked to end. */
     static void startPlatform(Path file, Optional<Path> groupFile, HangUp hangUp) {
@@ -101,6 +109,7 @@
     }
 
     private void serve(String name, InetSocketAddress listen, HangUp hangUp, Supplier<Front> build) {
+        Runtime.getRuntime().addShutdownHook(new Thread(this::end, "end"));
         CompletableFuture<Front> built = new CompletableFuture<>();
         loop.execute(() -> {
             try {
@@ -117,15 +126,16 @@
                 front.group().get().listen();
                 loop.execute(() -> front.group().get().start(front.controller()));
             }
+            listens = true;
             bound = network.listen(listen, front.callers(), front.limits());
         } catch (ExecutionException e) {
             loop.close();
             throw new IllegalArgumentException(e.getCause().getMessage(), e);
         } catch (InterruptedException | IllegalArgumentException e) {
+            listens = false;
             loop.close();
             throw new IllegalArgumentException(e.getMessage(), e);
         }
-        Runtime.getRuntime().addShutdownHook(new Thread(this::end, "end"));
         hangUp.does(() -> loop.execute(this::reload));
         LOG.log(Level.INFO, "call controller {0} serves on {1}", name, bound);
         if (hangUp.isUnheard()) {
@@ -158,10 +168,13 @@
 
     /** Goes on serving until nothing more comes and all that was taken is answered. */
     private void end() {
+        if (!listens) {
+            return;   // the start had not finished: nobody was taken
+        }
         loop.execute(() -> {
             ending = true;
             LOG.log(Level.INFO, "asked to end: {0} calls are open", front.controller().openCalls());
-            endWhenAnswered(loop.now().plus(STILL_COMING));
+            endWhenAnswered(loop.now().plus(STILL_COMING), -1);
         });
         try {
             ended.await();
@@ -170,17 +183,35 @@
         }
     }
 
+    /**
+     * Guards callers whose set-up has come and has not been read, since the loop is behind: a connection is accepted in one
+     * turn of the loop and read in the next, so nothing more comes only once a whole turn has brought nothing.
+     */
+    private void endWhenAnswered(Instant until, long cameBefore) {
+        long came = network.accepted() + front.controller().counters().value(Counters.Name.SET_UPS);
+        boolean quiet = came == cameBefore || loop.now().isAfter(until.plus(COMING_MOST));
+        if (loop.now().isBefore(until) || front.controller().openCalls() > 0 || !quiet) {
+            loop.after(END_CHECK, () -> endWhenAnswered(until, came));
+        } else {
+            front.group().ifPresentOrElse(group -> group.leave(this::part), this::part);
+        }
+    }
+
     private void part() {
         front.part().run();
         LOG.log(Level.INFO, "ended: {0}", front.controller().counters().line());
-        loop.after(END_CHECK, ended::countDown);   // what was just written leaves first
+        when(network::hasWritten, loop.now().plus(LAST_WORDS), () -> {
+            network.partFromCallers();
+            when(network::hasParted, loop.now().plus(LAST_WORDS), ended::countDown);
+        });
     }
 
-    private void endWhenAnswered(Instant until) {
-        if (loop.now().isBefore(until) || front.controller().openCalls() > 0) {
-            loop.after(END_CHECK, () -> endWhenAnswered(until));
+    /** Goes on once something holds, or has not in time. */
+    private void when(BooleanSupplier holds, Instant until, Runnable next) {
+        if (holds.getAsBoolean() || !loop.now().isBefore(until)) {
+            next.run();
         } else {
-            front.group().ifPresentOrElse(group -> group.leave(this::part), this::part);
+            loop.after(END_CHECK, () -> when(holds, until, next));
         }
     }
 }
--- a/daemon/src/main/java/pathlane/net/Network.java
+++ b/daemon/src/main/java/pathlane/net/Network.java
@@ -5,6 +5,7 @@
 import io.netty.buffer.Unpooled;
 import io.netty.buffer.UnpooledByteBufAllocator;
 import io.netty.channel.AdaptiveRecvByteBufAllocator;
+import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
@@ -18,6 +19,10 @@
 import java.net.ConnectException;
 import java.net.InetSocketAddress;
 import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
 import java.util.function.Supplier;
 import pathlane.config.file.CallerLimits;
 import pathlane.core.ConnectionEnd;
@@ -40,6 +45,12 @@
     private static final long MOST_UNWRITTEN = 64 * 1024;
     private final EventLoop loop;
     private final LimitedLog limitedLog;
+    /** Connections that are up or dialled, those that were accepted among them. On the loop's thread. */
+    private final Set<Driver> drivers = new HashSet<>();
+    private final Set<Driver> accepted = new HashSet<>();
+    private final List<Channel> listening = new ArrayList<>();
+    /** How many connections were ever accepted. */
+    private long taken;
     /** The one socket that datagrams leave by, once there are any. */
     private ChannelFuture datagrams;
 
@@ -69,33 +80,82 @@
         Admission admission = new Admission(most);
         ServerBootstrap server = new ServerBootstrap().group(loop.netty()).channel(NioServerSocketChannel.class)
                 .option(ChannelOption.SO_BACKLOG, BACKLOG).option(ChannelOption.SO_REUSEADDR, true)
-                .childOption(ChannelOption.TCP_NODELAY, true)
+                .childOption(ChannelOption.TCP_NODELAY, true).childOption(ChannelOption.AUTO_READ, false)
                 .childOption(ChannelOption.ALLOCATOR, new UnpooledByteBufAllocator(false))
+                // Reads until nothing is there: a caller's close is read with what it wrote just before.
                 .childOption(ChannelOption.RECVBUF_ALLOCATOR, new AdaptiveRecvByteBufAllocator(FIRST_READ, USUAL_READ,
-                        LONGEST_READ).maxMessagesPerRead(MOST_READS))
+                        LONGEST_READ).respectMaybeMoreData(false).maxMessagesPerRead(MOST_READS))
                 .childHandler(new ChannelInitializer<SocketChannel>() {
                     @Override
                     protected void initChannel(SocketChannel channel) {
+                        taken++;
                         Protocol protocol = protocols.get();
                         Driver driver = new Driver(protocol, mostUnwritten, limitedLog);
-                        if (!admission.admit(protocol, driver::close)) {
-                            limitedLog.warn("connection from {0} turned away: {1} are open, all with calls",
-                                    channel.remoteAddress(), Integer.toString(admission.size()));
-                            channel.close();
-                            protocol.closed(ConnectionEnd.TURNED_AWAY);
-                            return;
+                        if (admission.isFull()) {
+                            // Guards a connection that seems idle, with a set-up in it that has not been read yet: what
+                            // is there by now is read before one of them gives way.
+                            channel.eventLoop().execute(() -> admit(admission, protocol, driver, channel));
+                        } else {
+                            admit(admission, protocol, driver, channel);
                         }
-                        channel.closeFuture().addListener(closed -> admission.ended(protocol));
-                        channel.pipeline().addLast(driver);
                     }
                 });
         ChannelFuture bound = server.bind(address).awaitUninterruptibly();
         if (!bound.isSuccess()) {
             throw new IllegalArgumentException("can't listen on " + address + ": " + bound.cause().getMessage());
         }
+        loop.execute(() -> listening.add(bound.channel()));
         return (InetSocketAddress) bound.channel().localAddress();
     }
 
+    private void admit(Admission admission, Protocol protocol, Driver driver, SocketChannel channel) {
+        if (!channel.isActive()) {
+            return;   // it has gone again, unheard
+        }
+        if (!admission.admit(protocol, driver::close)) {
+            limitedLog.warn("connection from {0} turned away: {1} are open, all with calls",
+                    channel.remoteAddress(), Integer.toString(admission.size()));
+            channel.close();
+            protocol.closed(ConnectionEnd.TURNED_AWAY);
+            return;
+        }
+        accepted.add(driver);
+        channel.closeFuture().addListener(closed -> {
+            admission.ended(protocol);
+            accepted.remove(driver);
+        });
+        track(driver, channel);
+        channel.pipeline().addLast(driver);
+        driver.begin(channel);
+        channel.config().setAutoRead(true);
+    }
+
+    private void track(Driver driver, Channel channel) {
+        drivers.add(driver);
+        channel.closeFuture().addListener(closed -> drivers.remove(driver));
+    }
+
+    /** How many connections were ever accepted. On the loop's thread. */
+    public long accepted() {
+        return taken;
+    }
+
+    /** Whether all that was written anywhere has left. On the loop's thread. */
+    public boolean hasWritten() {
+        return drivers.stream().allMatch(driver -> driver.unwritten() == 0);
+    }
+
+    /** Takes nothing more from those who dialled here, and ends their connections in order. On the loop's thread. */
+    public void partFromCallers() {
+        listening.forEach(Channel::close);
+        List.copyOf(accepted).forEach(driver -> driver.part(ConnectionEnd.ENDED));
+    }
+
+    /** Whether nobody who dialled here is connected any more. On the loop's thread. */
+    public boolean hasParted() {
+        return accepted.isEmpty();
+    }
+
     @Override
     public void dial(InetSocketAddress address, Duration timeout, Protocol protocol) {
         dial(address, timeout, protocol, MOST_UNWRITTEN);
@@ -107,13 +167,20 @@
     }
 
     private void dial(InetSocketAddress address, Duration timeout, Protocol protocol, long mostUnwritten) {
+        Driver driver = new Driver(protocol, mostUnwritten, limitedLog);
         Bootstrap client = new Bootstrap().group(loop.netty()).channel(NioSocketChannel.class)
                 .option(ChannelOption.TCP_NODELAY, true)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) Math.max(1, timeout.toMillis()))
                 .option(ChannelOption.ALLOCATOR, new UnpooledByteBufAllocator(false))
                 .option(ChannelOption.RECVBUF_ALLOCATOR,
                         new AdaptiveRecvByteBufAllocator(FIRST_READ, USUAL_READ, LONGEST_READ))
-                .handler(new Driver(protocol, mostUnwritten, limitedLog));
+                .handler(new ChannelInitializer<SocketChannel>() {
+                    @Override
+                    protected void initChannel(SocketChannel channel) {
+                        track(driver, channel);
+                        channel.pipeline().addLast(driver);
+                    }
+                });
         loop.execute(() -> client.connect(address).addListener(done -> {
             if (!done.isSuccess()) {
                 protocol.closed(end(done.cause()));
--- a/daemon/src/main/java/pathlane/platform/ServerLink.java
+++ b/daemon/src/main/java/pathlane/platform/ServerLink.java
@@ -94,6 +94,7 @@
     /** Where each set-up is out: written, and not yet at an end. */
     private final Map<String, Session> out = new HashMap<>();
     private final Duration idleAfter;
+    private final Duration longestPatience;
     private Duration redial = REDIAL_FIRST;
     private Scheduler.Timer redialTimer;
     private Scheduler.Timer visitAnew;
@@ -121,6 +122,7 @@
         this.name = ServerList.serverName(server.id());
         this.idleAfter = common.settings.idleClose().multipliedBy(IDLE_PERCENT).dividedBy(100);
         this.settings = common.settings;
+        this.longestPatience = settings.longestPatience();
         this.limits = common.limits;
         this.controller = common.controller;
         this.listCurrent = common.listCurrent;
@@ -179,11 +181,14 @@
         return best;
     }
 
-    /** The connection for a set-up: one on which all that was written has left, if it isn't to leave after a drain. */
-    private Session bestForSetUp() {
+    /**
+     * The connection for a set-up: one on which all that was written has left, if it isn't to leave after a drain; and not
+     * one on which the server may still answer an attempt of the same call that was given up.
+     */
+    private Session bestForSetUp(String call) {
         Session best = null;
         for (Session one : sessions) {
-            if (one.isUp() && !one.connection.isStuck() && (best == null || one.sent.size() < best.sent.size())) {
+            if (one.isUp() && !one.connection.isStuck() && !one.givenUp.containsKey(call) && (best == null || one.sent.size() < best.sent.size())) {
                 best = one;
             }
         }
@@ -208,7 +213,7 @@
                 .with(Message.PATIENCE, Long.toString(Math.max(1, patience.toMillis())))
                 .with(Message.NUMBER, setUp.number())
                 .with(Message.DESCRIPTION, setUp.description()).bytes();
-        Session best = mayDrain() ? null : bestForSetUp();
+        Session best = mayDrain() ? null : bestForSetUp(setUp.id());
         if (best == null) {
             waitingSetUps.put(setUp.id(), bytes);
             dialForWaiting();
@@ -236,6 +241,11 @@
         }
     }
 
+    /**
+     * Guards the rule of one attempt, and session servers against work for callers that have gone: a set-up that has not
+     * begun to leave never does, and the give-up of one that has leaves before anything else is decided. Where it can't,
+     * the connection is broken off, which gives up what is out there.
+     */
     @Override
     public void giveUp(String call) {
         if (waitingSetUps.remove(call) != null) {
@@ -243,22 +253,17 @@
         }
         Session session = out.remove(call);
         if (session != null) {
-            Instant sentAt = session.sent.remove(call);
-            if (session.isUp()) {
-                session.write(new Message(Message.RELEASE, call).withCause(Cause.OVER).bytes());
-            }
-            if (session.isUp() && session.isOvertaken(sentAt)) {
-                session.end(ConnectionEnd.OVERTAKEN);
-            }
+            session.giveUp(call, session.sent.remove(call));
         }
     }
 
     @Override
     public void release(String call, Ending how, byte[] content) {
         byte[] bytes = new Message(Message.RELEASE, call).withCause(Cause.ofRelease(how)).bytes();
-        Session best = best();
+        Session free = bestForSetUp(call);
+        Session best = free == null ? best() : free;
         if (best != null) {
-            best.write(bytes);
+            best.release(call, bytes);
         } else if (!closed && waitingReleases.size() < limits.waitingReleases()) {
             waitingReleases.put(call, bytes);
             dial();
@@ -306,8 +311,7 @@
         draining = true;
         endWaiting();
         // Guards rule three against what was written and could not leave: it would, once the server reads again.
-        sessions.stream().filter(one -> one.isUp() && !one.sent.isEmpty() && one.connection.isStuck())
-                .toList().forEach(one -> one.end(ConnectionEnd.OVERFLOW));
+        List.copyOf(sessions).forEach(Session::takeBack);
     }
 
     /** A new connection on which no lines were told, while the bus is not heard, shows nothing of a drain. */
@@ -342,12 +346,15 @@
         ended.forEach(session -> {
             session.stop();
             if (session.connection != null) {
-                session.connection.close(ConnectionEnd.DELISTED);
+                session.connection.abort(ConnectionEnd.DELISTED);   // what is out there is free to go elsewhere
             }
             session.endSent(ConnectionEnd.DELISTED);
         });
     }
 
+    /** A message, and when it was written. */
+    private record Sent(Instant at, byte[] message) { }
+
     /** One connection to the server. */
     private final class Session implements Protocol {
 
@@ -355,7 +362,11 @@
         private final FrameDeadline unfinished = new FrameDeadline(scheduler, limits.unfinished(),
                 () -> end(ConnectionEnd.UNFINISHED));
         /** Set-ups that are out on this connection, in the order in which they were sent, and when. */
-        private final Map<String, Instant> sent = new LinkedHashMap<>();
+        private final Map<String, Sent> sent = new LinkedHashMap<>();
+        /** Set-ups that were given up here and of which the server has said nothing since, and when. */
+        private final Map<String, Instant> givenUp = new LinkedHashMap<>();
+        /** Releases that were written here since something was last heard, and when. */
+        private final Map<String, Sent> unheardReleases = new LinkedHashMap<>();
         private Connection connection;
         private Scheduler.Timer idle;
         private Scheduler.Timer silence;
@@ -399,7 +410,7 @@
             silence = scheduler.after(limits.silence(), this::closeIfSilent);
             LOG.log(Level.INFO, "server {0} at {1} is up", name, up.remote());
             List<String> left = List.copyOf(waitingReleases.keySet());
-            waitingReleases.values().forEach(up::write);
+            waitingReleases.forEach(this::release);
             waitingReleases.clear();
             left.forEach(call -> controller.get().releaseLeft(call));
             if (!mayDrain()) {
@@ -412,16 +423,74 @@
         }
 
         private void sendWaiting() {
-            waitingSetUps.forEach(this::setUp);
-            waitingSetUps.clear();
+            List<String> stay = waitingSetUps.keySet().stream().filter(givenUp::containsKey).toList();
+            waitingSetUps.forEach((call, bytes) -> {
+                if (!givenUp.containsKey(call)) {
+                    setUp(call, bytes);
+                }
+            });
+            waitingSetUps.keySet().retainAll(stay);
         }
 
         void setUp(String call, byte[] bytes) {
-            sent.put(call, scheduler.now());
+            sent.put(call, new Sent(scheduler.now(), bytes));
             out.put(call, this);
             write(bytes);
         }
 
+        void giveUp(String call, Sent setUp) {
+            Connection.Withdrawal how = connection.withdraw(setUp.message());
+            if (how == Connection.Withdrawal.WITHDRAWN) {
+                return;
+            }
+            if (how == Connection.Withdrawal.BOUND || ending || connection.isStuck()) {
+                ending = true;
+                connection.abort(ConnectionEnd.OVERFLOW);
+                return;
+            }
+            forgetGivenUp();
+            givenUp.put(call, scheduler.now());
+            write(new Message(Message.RELEASE, call).withCause(Cause.OVER).bytes());
+            connection.flush();
+            if (isOvertaken(setUp.at())) {
+                end(ConnectionEnd.OVERTAKEN);
+            }
+        }
+
+        /** No call is tried for longer than its caller may wait. */
+        private void forgetGivenUp() {
+            Instant old = scheduler.now().minus(longestPatience);
+            givenUp.values().removeIf(at -> at.isBefore(old));
+        }
+
+        /** What has not begun to leave is free to go elsewhere; what would leave whenever the server reads again is broken off. */
+        private void takeBack() {
+            if (!isUp() || sent.isEmpty() || !connection.isStuck()) {
+                return;
+            }
+            boolean bound = false;
+            for (Map.Entry<String, Sent> one : List.copyOf(sent.entrySet())) {
+                if (connection.withdraw(one.getValue().message()) == Connection.Withdrawal.WITHDRAWN) {
+                    sent.remove(one.getKey());
+                    out.remove(one.getKey());
+                    controller.get().released(server.id(), one.getKey(), Ending.UNREACHABLE, Duration.ZERO);
+                } else {
+                    bound = true;
+                }
+            }
+            if (bound) {
+                end(ConnectionEnd.OVERFLOW);
+            }
+        }
+
+        /** Releases a call here; should nothing more be heard before the connection ends, it is released on the next too. */
+        void release(String call, byte[] bytes) {
+            if (unheardReleases.size() < limits.waitingReleases()) {
+                unheardReleases.put(call, new Sent(scheduler.now(), bytes));
+            }
+            write(bytes);
+        }
+
         /** Guards against set-ups that cross the other side's close of a connection that idled too long. */
         private void closeIfIdle() {
             Duration left = Duration.between(scheduler.now(), used.plus(idleAfter));
@@ -455,9 +524,17 @@
             return !heard.isAfter(sentAt) && !answeredUpTo.isBefore(sentAt.plus(limits.overtaken()));
         }
 
+        /**
+         * One that is merely not needed any more is closed in order: the end of a call that stands may cross the close.
+         * Others are broken off at once, since what is out on them waits for their end.
+         */
         private void end(ConnectionEnd why) {
             ending = true;
-            connection.close(why);
+            if (why == ConnectionEnd.IDLE || why == ConnectionEnd.GAVE_WAY) {
+                connection.finish(why);
+            } else {
+                connection.abort(why);
+            }
         }
 
         void write(byte[] bytes) {
@@ -480,17 +557,32 @@
         private void message(Message message) {
             String call = message.id();
             heard = scheduler.now();
+            Instant surely = heard.minus(limits.firstLines());
+            unheardReleases.values().removeIf(release -> release.at().isBefore(surely));
             switch (message.type) {
                 case Message.ANSWER -> {
-                    atEnd(call);
                     byte[] description = message.value(Message.DESCRIPTION);
-                    controller.get().answered(server.id(), call, description == null ? new byte[0] : description);
+                    if (isOfEarlierAttempt(call)) {
+                        return;
+                    }
+                    if (description == null && sent.containsKey(call)) {
+                        unusable(call, "no description");
+                        return;
+                    }
+                    atEnd(call);
+                    controller.get().answered(server.id(), call, description == null ? NOTHING : description);
                 }
                 case Message.RELEASE -> {
-                    // Read before the set-up is struck out: bad input must still end it with the connection.
-                    Ending how = Cause.ending(message.cause(), message.text(Message.NOTE));
+                    if (isOfEarlierAttempt(call)) {
+                        return;
+                    }
+                    if (!message.hasCause()) {
+                        unusable(call, "no cause of one byte");
+                        return;
+                    }
                     atEnd(call);
-                    controller.get().released(server.id(), call, how, Duration.ZERO);
+                    controller.get().released(server.id(), call, Cause.ending(message.cause(),
+                            message.text(Message.NOTE)), Duration.ZERO);
                 }
                 case Message.PROGRESS, Message.RELEASE_HEARD, Message.TEST_RESULT -> { }
                 case Message.GROUP_STATE -> groupState(message);
@@ -498,16 +590,38 @@
             }
         }
 
+        /**
+         * Guards a call's attempt that is out on another connection to this server, or waits for one: what is said here is of
+         * an earlier one, which was given up here, and another attempt would be sent beside it.
+         */
+        private boolean isOfEarlierAttempt(String call) {
+            givenUp.remove(call);
+            Session current = out.get(call);
+            return current == null ? waitingSetUps.containsKey(call) : current != this;
+        }
+
+        /**
+         * Ends one call by a message that is whole and can't be used; the others on this connection have no part in it. The
+         * server may hold the call's place: it is released.
+         */
+        private void unusable(String call, String why) {
+            LOG.log(Level.WARNING, "server {0}: what it said of call {1} can''t be used: {2}", name, call, why);
+            atEnd(call);
+            release(call, new Message(Message.RELEASE, call).withCause(Cause.OVER).bytes());
+            controller.get().released(server.id(), call, Ending.RESET, Duration.ZERO);
+        }
+
         /** A set-up of this connection has come to its end, and shows what the server has got to. */
         private void atEnd(String call) {
-            Instant sentAt = sent.remove(call);
-            if (sentAt == null) {
+            Sent setUp = sent.remove(call);
+            if (setUp == null) {
                 return;
             }
+            Instant sentAt = setUp.at();
             out.remove(call);
             answeredUpTo = sentAt.isAfter(answeredUpTo) ? sentAt : answeredUpTo;
             for (Session other : List.copyOf(sessions)) {
-                if (other.isUp() && !other.sent.isEmpty() && other.isOvertaken(other.sent.values().iterator().next())) {
+                if (other.isUp() && !other.sent.isEmpty() && other.isOvertaken(other.sent.values().iterator().next().at())) {
                     other.end(ConnectionEnd.OVERTAKEN);
                 }
             }
@@ -553,6 +667,18 @@
             broken.forEach(call -> controller.get().released(server.id(), call, end.outcome(), Duration.ZERO));
         }
 
+        /** Guards calls against standing for good: a release that was written here may never have been read. */
+        private void releaseAgain(ConnectionEnd end) {
+            if (end != ConnectionEnd.IDLE && end != ConnectionEnd.GAVE_WAY) {
+                unheardReleases.forEach((call, release) -> {
+                    if (waitingReleases.size() < limits.waitingReleases()) {
+                        waitingReleases.put(call, release.message());
+                    }
+                });
+            }
+            unheardReleases.clear();
+        }
+
         @Override
         public void closed(ConnectionEnd end) {
             sessions.remove(this);
@@ -569,6 +695,7 @@
                 awaitReached();
             }
             endSent(end);
+            releaseAgain(end);
             if (sessions.isEmpty()) {
                 allEnded(end);
             } else if (sessions.stream().noneMatch(session -> session.connection == null)) {
--- /dev/null
+++ b/daemon/src/test/java/pathlane/crossings/Controller.java
@@ -0,0 +1,109 @@
+package pathlane.crossings;
+
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.time.Duration;
+import java.util.Optional;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.function.UnaryOperator;
+import pathlane.config.file.NodeConfig;
+import pathlane.core.Counters;
+import pathlane.link.Dialer;
+import pathlane.net.EventLoop;
+import pathlane.net.Network;
+import pathlane.platform.PlatformFront;
+
+/** The program's own loop, sockets and platform front, in this process, so that a test can hold its loop up. */
+final class Controller implements AutoCloseable {
+
+    private static final long MOST_WAIT_S = 20;
+
+    /** Something a test does while the loop is held up. */
+    interface Meanwhile {
+        void run() throws IOException;
+    }
+
+    private final EventLoop loop = new EventLoop();
+    private final PlatformFront front;
+    final InetSocketAddress address;
+
+    Controller(String config) throws Exception {
+        this(config, dialer -> dialer);
+    }
+
+    /** {@code around} may hold back what is dialled. */
+    Controller(String config, UnaryOperator<Dialer> around) throws Exception {
+        Network network = new Network(loop);
+        NodeConfig parsed = NodeConfig.parse(config);
+        PlatformFront[] made = new PlatformFront[1];
+        CountDownLatch done = new CountDownLatch(1);
+        loop.execute(() -> {
+            made[0] = new PlatformFront(parsed, around.apply(network), loop, () -> true, Optional::empty);
+            done.countDown();
+        });
+        await(done);
+        front = made[0];
+        address = network.listen(parsed.listen(), front::accept, parsed.callers());
+    }
+
+    /** A configuration with servers at these ports, and further members of {@code limits} and {@code ceilings}. */
+    static String config(String limits, String ceilings, ServerSocket... servers) {
+        StringBuilder hosts = new StringBuilder();
+        for (int i = 0; i < servers.length; i++) {
+            hosts.append(i == 0 ? "" : ",").append("{\"host\": \"s-0000000").append(i + 1)
+                    .append("\", \"dial\": \"127.0.0.1:").append(servers[i].getLocalPort())
+                    .append("\", \"site\": \"east\", \"class\": \"std\", \"block\": ").append(i)
+                    .append(", \"health\": \"SERVING\", \"share\": 1, \"born_ms\": 0}");
+        }
+        return """
+                {"name": "n1", "listen": "127.0.0.1:0", "seed": "8c1f30d27a5be964", "limits": {%s},
+                 "known": {"offset": 1, "batch": [{"offset": 1, "topology": {"seq": 1, "whole": true, "hosts": [%s]}}]},
+                 "settings": {"balancers": 1, "tick-ms": 5,
+                   "lanes": [{"name": "plain", "aim-ms": 1500, "deadline-ms": 9000, "importance": 1}],
+                   "ceilings": {"cancelling": true, "max-attempts": 6, "dial-timeout-ms": 5000%s},
+                   "rules": {"cold-from": 0.28, "cold-ms": 13000, "fall-multiple": 3, "fall-ms": 1500},
+                   "specifics": {"clear-wait-ms": 200}}}""".formatted(limits, hosts, ceilings);
+    }
+
+    /** Holds the loop up while something is done: all of it is found by the loop at once, in the order in which it came. */
+    void whileBehind(Meanwhile meanwhile) throws Exception {
+        CountDownLatch held = new CountDownLatch(1);
+        CountDownLatch go = new CountDownLatch(1);
+        loop.execute(() -> {
+            held.countDown();
+            await(go);
+        });
+        await(held);
+        try {
+            meanwhile.run();
+        } finally {
+            go.countDown();
+        }
+    }
+
+    /** Waits until so much has been counted. */
+    void awaitCount(Counters.Name name, long count) throws InterruptedException {
+        long until = System.nanoTime() + TimeUnit.SECONDS.toNanos(MOST_WAIT_S);
+        while (front.controller().counters().value(name) < count) {
+            assertTrue(System.nanoTime() < until, name + " never came to " + count);
+            Thread.sleep(Duration.ofMillis(1).toMillis());
+        }
+    }
+
+    private static void await(CountDownLatch latch) {
+        try {
+            assertTrue(latch.await(MOST_WAIT_S, TimeUnit.SECONDS), "waited in vain");
+        } catch (InterruptedException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    @Override
+    public void close() {
+        loop.close();
+    }
+}
--- a/wire/src/main/java/pathlane/bus/BusFeed.java
+++ b/wire/src/main/java/pathlane/bus/BusFeed.java
@@ -153,6 +153,10 @@
 
         @Override
         public void received(ByteBuffer bytes) {
+            if (session != this) {
+                bytes.position(bytes.limit());
+                return;   // guards the new bus's events against what the old one still says
+            }
             try {
                 if (assembler.feed(bytes, this::frame) > 0) {
                     heard = scheduler.now();
--- a/wire/src/main/java/pathlane/wire/Message.java
+++ b/wire/src/main/java/pathlane/wire/Message.java
@@ -98,9 +98,15 @@
         return value == null ? "" : new String(value, StandardCharsets.UTF_8);
     }
 
+    /** Whether there is a cause, of one byte as it must be. */
+    public boolean hasCause() {
+        byte[] value = parameters.get(CAUSE);
+        return value != null && value.length == 1;
+    }
+
     public int cause() {
         byte[] value = parameters.get(CAUSE);
-        if (value == null || value.length != 1) {
+        if (!hasCause()) {
             throw new BadInput("a message of type " + type + " without a cause of one byte");
         }
         return value[0] & 0xff;
