--- a/daemon/src/main/java/pathlane/config/file/ServerLimits.java
+++ b/daemon/src/main/java/pathlane/config/file/ServerLimits.java
@@ -11,19 +11,23 @@
  *                  answered on another connection: servers take set-ups in turn
  * @param waitingReleases releases that wait for a connection to one server
  * @param waitingUnknown releases of calls that are not known, waiting for a connection to one server
- * @param silence a server tells its free lines each second; after so long without a word a connection may be dead
- * @param untold after so long without its lines, which it tells each second, a server may have begun to drain. The bus
- *               may say so over a second later than it counts as told, and a second after that nothing new may go there
- * @param untoldUnsure the same while the bus is not heard: its lines may have been the last thing before its drain was
- *               told, which leaves the second of the rule and what the lines' way may vary by
+ * @param silence a server tells its free lines all the time; after so long without a word, and two of its periods, a
+ *                connection may be dead
+ * @param lines how often servers tell their lines at the most. After one and a half of the period that is seen, a server
+ *              that has not may have begun to drain. The bus may say so over a second later than it counts as told, and a
+ *              second after that nothing new may go there
+ * @param linesUnseen the period that is taken before one has been seen
+ * @param linesVary what the lines' way may vary by. While the bus is not heard, a server that has not told its lines for a
+ *                  period and this may drain: they may have been the last thing before its drain was told, which leaves
+ *                  the second of the rule
  * @param unreached a server that could not be reached for so long has no calls any more: an end is owed within 8 s
  * @param firstLines how long a server's first lines on a new connection are waited for then
  */
 public record ServerLimits(int connections, Duration unfinished, Duration overtaken, int waitingReleases,
-                           int waitingUnknown, Duration silence, Duration untold, Duration untoldUnsure,
+                           int waitingUnknown, Duration silence, Duration lines, Duration linesUnseen, Duration linesVary,
                            Duration firstLines, Duration unreached) {
 
     public static final ServerLimits USUAL = new ServerLimits(4, Duration.ofSeconds(1), Duration.ofMillis(100),
-            10_000, 64, Duration.ofSeconds(4), Duration.ofMillis(1500), Duration.ofMillis(1020),
-            Duration.ofMillis(150), Duration.ofSeconds(7));
+            10_000, 64, Duration.ofSeconds(4), Duration.ofSeconds(1), Duration.ofMillis(2500),
+            Duration.ofMillis(20), Duration.ofMillis(150), Duration.ofSeconds(7));
 }
--- a/daemon/src/main/java/pathlane/net/Network.java
+++ b/daemon/src/main/java/pathlane/net/Network.java
@@ -7,6 +7,7 @@
 import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
@@ -109,6 +110,13 @@
         if (!bound.isSuccess()) {
             throw new IllegalArgumentException("can't listen on " + address + ": " + bound.cause().getMessage());
         }
+        bound.channel().pipeline().addLast(new ChannelInboundHandlerAdapter() {
+            @Override
+            public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+                // The acceptor before this one has stopped accepting for a second: what comes waits in the backlog.
+                limitedLog.warn("no connection can be accepted now: {0}", cause.getMessage());
+            }
+        });
         loop.execute(() -> listening.add(bound.channel()));
         return (InetSocketAddress) bound.channel().localAddress();
     }
--- a/daemon/src/main/java/pathlane/platform/PlatformFront.java
+++ b/daemon/src/main/java/pathlane/platform/PlatformFront.java
@@ -57,7 +57,8 @@
         Instant startedAt = scheduler.now();
         Admission servers = new Admission(config.descriptors().servers());
         ServerLink.Common common = new ServerLink.Common(config.settings(), ServerLimits.USUAL, this::controller,
-                this::isListCurrent, dialer, scheduler, servers, random, startedAt);
+                this::isListCurrent, dialer, scheduler, servers,
+                new LinesPeriod(ServerLimits.USUAL.lines(), ServerLimits.USUAL.linesUnseen()), random, startedAt);
         controller = new CallController(config.settings(), config.seed(), scheduler,
                 line -> new ServerLink(line, common), cover);
         KnownEvents.read(config).forEach(event -> controller.listed(event.whole(), event.lines()));
--- a/daemon/src/main/java/pathlane/platform/ServerLink.java
+++ b/daemon/src/main/java/pathlane/platform/ServerLink.java
@@ -69,12 +69,13 @@
      * @param controller asked for late: it makes its ports itself
      * @param listCurrent whether the bus would have told by now if a server had begun to drain
      * @param connections the connections to all servers
+     * @param lines how often servers tell their lines
      * @param random spreads what would come from a whole fleet at once
      * @param startedAt when the program started
      */
     public record Common(Settings settings, ServerLimits limits, Supplier<CallController> controller,
                          BooleanSupplier listCurrent, Dialer dialer, Scheduler scheduler, Admission connections,
-                         SplittableRandom random, Instant startedAt) { }
+                         LinesPeriod lines, SplittableRandom random, Instant startedAt) { }
 
     private final ServerLine server;
     private final String name;
@@ -85,6 +86,7 @@
     private final Dialer dialer;
     private final Scheduler scheduler;
     private final Admission connections;
+    private final LinesPeriod lines;
     private final SplittableRandom random;
     /** Set-ups and releases that wait for a connection. */
     private final Map<String, byte[]> waitingSetUps = new LinkedHashMap<>();
@@ -129,6 +131,7 @@
         this.dialer = common.dialer;
         this.scheduler = common.scheduler;
         this.connections = common.connections;
+        this.lines = common.lines;
         this.random = common.random;
         this.startedAt = common.startedAt;
         if (connections.isUnder(AHEAD_PART)) {
@@ -201,7 +204,8 @@
      * for long on a connection that is up is sent nothing new before it tells them again.
      */
     private boolean mayDrain() {
-        Duration untold = listCurrent.getAsBoolean() ? limits.untold() : limits.untoldUnsure();
+        Duration period = lines.length();
+        Duration untold = listCurrent.getAsBoolean() ? period.multipliedBy(3).dividedBy(2) : period.plus(limits.linesVary());
         return everToldLines && takingAt.plus(untold).isBefore(scheduler.now());
     }
 
@@ -310,7 +314,8 @@
     public void drain() {
         draining = true;
         endWaiting();
-        // Guards rule three against what was written and could not leave: it would, once the server reads again.
+        // Guards rule three against what was written in this turn, and what was written before and could not leave: it would,
+        // once the server reads again.
         List.copyOf(sessions).forEach(Session::takeBack);
     }
 
@@ -374,6 +379,9 @@
         /** When the last whole message came. */
         private Instant heard;
         private boolean tellsLines;
+        /** When the lines were last told here, and how long after the time before; null while there is none. */
+        private Instant linesAt;
+        private Duration lastWait;
         private boolean ending;
 
         boolean isUp() {
@@ -407,7 +415,7 @@
             }
             vainDials = 0;
             idle = scheduler.after(idleAfter, this::closeIfIdle);
-            silence = scheduler.after(limits.silence(), this::closeIfSilent);
+            silence = scheduler.after(silence(), this::closeIfSilent);
             LOG.log(Level.INFO, "server {0} at {1} is up", name, up.remote());
             List<String> left = List.copyOf(waitingReleases.keySet());
             waitingReleases.forEach(this::release);
@@ -465,7 +473,7 @@
 
         /** What has not begun to leave is free to go elsewhere; what would leave whenever the server reads again is broken off. */
         private void takeBack() {
-            if (!isUp() || sent.isEmpty() || !connection.isStuck()) {
+            if (!isUp()) {
                 return;
             }
             boolean bound = false;
@@ -478,7 +486,7 @@
                     bound = true;
                 }
             }
-            if (bound) {
+            if (bound && connection.isStuck()) {
                 end(ConnectionEnd.OVERFLOW);
             }
         }
@@ -506,16 +514,21 @@
          * sign, and its connection stays open. A new connection shows whether it is there.
          */
         private void closeIfSilent() {
-            Duration left = Duration.between(scheduler.now(), heard.plus(limits.silence()));
+            Duration left = Duration.between(scheduler.now(), heard.plus(silence()));
             if (left.compareTo(Duration.ZERO) > 0) {
                 silence = scheduler.after(left, this::closeIfSilent);
             } else if (tellsLines && !draining) {
                 end(ConnectionEnd.SILENT);
             } else {
-                silence = scheduler.after(limits.silence(), this::closeIfSilent);
+                silence = scheduler.after(silence(), this::closeIfSilent);
             }
         }
 
+        private Duration silence() {
+            Duration two = lines.length().multipliedBy(2).plus(limits.linesVary());
+            return lines.isSeen() && two.compareTo(limits.silence()) > 0 ? two : limits.silence();
+        }
+
         /**
          * Guards against a connection on which nothing comes any more though the server works: it takes set-ups in
          * turn, so one that it answered on another connection, sent well after this one, was overtaken by it.
@@ -633,9 +646,16 @@
 
         /** A state such as {@code free:12;size:299}: the server's free lines and all its lines. */
         private void groupState(Message message) {
+            Instant now = scheduler.now();
+            if (tellsLines) {
+                Duration wait = Duration.between(linesAt, now);
+                lines.told(wait, lastWait);
+                lastWait = wait;
+            }
+            linesAt = now;
             tellsLines = true;
             everToldLines = true;
-            takingAt = scheduler.now();
+            takingAt = now;
             double free = Double.NaN;
             double size = Double.NaN;
             for (String figure : message.text(Message.STATE).split(";")) {
--- a/daemon/src/test/java/pathlane/crossings/DescriptorsTest.java
+++ b/daemon/src/test/java/pathlane/crossings/DescriptorsTest.java
@@ -66,6 +66,33 @@
         }
     }
 
+    @Test
+    void acceptingGoesOnOnceDescriptorsAreFreeAgain() throws Exception {
+        try (ServerSocket listening = Peer.server()) {
+            // The process may hold fewer than the configuration says: connections are left in the backlog.
+            String config = Controller.config("\"sockets\": 1024", "", listening);
+            List<Peer> many = new ArrayList<>();
+            try (Program program = Program.within(LEAST + JARS, folder, config)) {
+                // Connections come and go first: a class that is needed by then can be loaded, which takes a descriptor.
+                for (int i = 0; i < 2; i++) {
+                    try (Peer first = Peer.to(program.address())) {
+                        first.awaitPassed();
+                    }
+                }
+                for (int i = 0; i < 2 * LEAST; i++) {
+                    many.add(Peer.to(program.address()));
+                }
+                program.awaitLine("no connection can be accepted now");
+                for (Peer one : many) {
+                    one.close();
+                }
+                try (Peer caller = Peer.to(program.address())) {
+                    caller.awaitPassed();
+                }
+            }
+        }
+    }
+
     /** Event 2: server 9 in cell 9, ready since long ago, and server 1 gone. */
     private static byte[] listing(int port) throws IOException {
         ByteBuffer frame = ByteBuffer.allocate(4 + 9 + 2 * 27).putInt(9 + 2 * 27).putLong(2).put((byte) 2);
--- a/daemon/src/test/java/pathlane/crossings/Program.java
+++ b/daemon/src/test/java/pathlane/crossings/Program.java
@@ -29,6 +29,11 @@
     /** Starts it and waits until it serves. */
     Program(Path folder, String config) throws IOException {
         this(folder, config, "exec ");
+        awaitServes();
+    }
+
+    /** Waits until it serves. */
+    void awaitServes() throws IOException {
         String line = awaitLine(SERVES);
         address = NodeConfig.address(line.substring(line.indexOf(SERVES) + SERVES.length()));
     }
@@ -53,8 +58,7 @@
     /** Starts it with so many descriptors, and waits until it serves. */
     static Program within(int descriptors, Path folder, String config) throws IOException {
         Program program = new Program(folder, config, "ulimit -n " + descriptors + "; exec ");
-        String line = program.awaitLine(SERVES);
-        program.address = NodeConfig.address(line.substring(line.indexOf(SERVES) + SERVES.length()));
+        program.awaitServes();
         return program;
     }
 
