--- a/core/src/main/java/pathlane/decision/Logic.java
+++ b/core/src/main/java/pathlane/decision/Logic.java
@@ -893,8 +893,8 @@
             usual = Math.max(answers.at(now) / lines(), faded);   // without this one, which would be chance
             answers.count(now);
             usualAt = now;
-            if (prompt) {
-                tokens += Math.min(1, fill(now) * settings.rules().fallMs());
+            if (prompt) {   // under a half: answers beget set-ups, and all together may not double what fills alone
+                tokens += Math.min(MARGIN * FALL_SHARE, fill(now) * settings.rules().fallMs());
             }
             detect(now, Double.POSITIVE_INFINITY);
         }
