--- a/daemon/src/main/java/pathlane/config/file/ServerLimits.java
+++ b/daemon/src/main/java/pathlane/config/file/ServerLimits.java
@@ -16,7 +16,7 @@
  * @param lines how often servers tell their lines at the most. After one and a half of the period that is seen, a server
  *              that has not may have begun to drain. The bus may say so over a second later than it counts as told, and a
  *              second after that nothing new may go there
- * @param linesUnseen the period that is taken before one has been seen
+ * @param linesFirst the most that the first wait between two such times can say of their period, while it is the only one
  * @param linesVary what the lines' way may vary by. While the bus is not heard, a server that has not told its lines for a
  *                  period and this may drain: they may have been the last thing before its drain was told, which leaves
  *                  the second of the rule
@@ -24,7 +24,7 @@
  * @param firstLines how long a server's first lines on a new connection are waited for then
  */
 public record ServerLimits(int connections, Duration unfinished, Duration overtaken, int waitingReleases,
-                           int waitingUnknown, Duration silence, Duration lines, Duration linesUnseen, Duration linesVary,
+                           int waitingUnknown, Duration silence, Duration lines, Duration linesFirst, Duration linesVary,
                            Duration firstLines, Duration unreached) {
 
     public static final ServerLimits USUAL = new ServerLimits(4, Duration.ofSeconds(1), Duration.ofMillis(100),
--- a/daemon/src/main/java/pathlane/platform/LinesPeriod.java
+++ b/daemon/src/main/java/pathlane/platform/LinesPeriod.java
@@ -13,19 +13,19 @@
     private static final double CHANCE = 0.25;
 
     private final Duration least;
-    private final Duration unknown;
+    private final Duration mostOfFirst;
     private Duration learnt;
     private boolean sure;
 
     /**
-     * Starts without having seen any.
+     * Starts without having seen any: the least is taken then.
      *
      * @param least no period counts as shorter
-     * @param unknown what is taken before the first has been seen, and the most that a first alone can say
+     * @param mostOfFirst the most that a first wait alone can say
      */
-    LinesPeriod(Duration least, Duration unknown) {
+    LinesPeriod(Duration least, Duration mostOfFirst) {
         this.least = least;
-        this.unknown = unknown;
+        this.mostOfFirst = mostOfFirst;
     }
 
     /** Lines were told this long after the last time on a connection; {@code before} is the wait before, or null. */
@@ -34,20 +34,17 @@
             learnt = wait.compareTo(before) < 0 ? wait : before;
             sure = true;
         } else if (!sure) {
-            learnt = wait.compareTo(unknown) < 0 ? wait : unknown;
+            learnt = wait.compareTo(mostOfFirst) < 0 ? wait : mostOfFirst;
         }
     }
 
-    /** Whether lines were told twice on any connection. */
+    /** Whether a whole wait was seen on any connection. */
     boolean isSeen() {
         return learnt != null;
     }
 
     /** The period by which servers are judged. */
     Duration length() {
-        if (learnt == null) {
-            return unknown;
-        }
-        return learnt.toNanos() <= least.toNanos() * (1 + CHANCE) ? least : learnt;
+        return learnt == null || learnt.toNanos() <= least.toNanos() * (1 + CHANCE) ? least : learnt;
     }
 }
--- a/daemon/src/main/java/pathlane/platform/PlatformFront.java
+++ b/daemon/src/main/java/pathlane/platform/PlatformFront.java
@@ -58,7 +58,7 @@
         Admission servers = new Admission(config.descriptors().servers());
         ServerLink.Common common = new ServerLink.Common(config.settings(), ServerLimits.USUAL, this::controller,
                 this::isListCurrent, dialer, scheduler, servers,
-                new LinesPeriod(ServerLimits.USUAL.lines(), ServerLimits.USUAL.linesUnseen()), random, startedAt);
+                new LinesPeriod(ServerLimits.USUAL.lines(), ServerLimits.USUAL.linesFirst()), random, startedAt);
         controller = new CallController(config.settings(), config.seed(), scheduler,
                 line -> new ServerLink(line, common), cover);
         KnownEvents.read(config).forEach(event -> controller.listed(event.whole(), event.lines()));
--- a/daemon/src/main/java/pathlane/platform/ServerLink.java
+++ b/daemon/src/main/java/pathlane/platform/ServerLink.java
@@ -60,6 +60,7 @@
     private static final Duration STARTING = Duration.ofSeconds(5);
     /** So long after the program's start hardly any call from before it stands. */
     private static final Duration OLDER_CALLS = Duration.ofSeconds(30);
+    private static final int RELEASES_AT_ONCE = 256;
     /** Dials in vain after which a silent server's calls count as cut: they can't be released any more. */
     private static final int VAIN_DIALS = 2;
 
@@ -379,7 +380,7 @@
         /** When the last whole message came. */
         private Instant heard;
         private boolean tellsLines;
-        /** When the lines were last told here, and how long after the time before; null while there is none. */
+        /** When the lines were last told here but for the first time, and how long after the time before; or null. */
         private Instant linesAt;
         private Duration lastWait;
         private boolean ending;
@@ -418,8 +419,7 @@
             silence = scheduler.after(silence(), this::closeIfSilent);
             LOG.log(Level.INFO, "server {0} at {1} is up", name, up.remote());
             List<String> left = List.copyOf(waitingReleases.keySet());
-            waitingReleases.forEach(this::release);
-            waitingReleases.clear();
+            releaseWaiting();
             left.forEach(call -> controller.get().releaseLeft(call));
             if (!mayDrain()) {
                 sendWaiting();
@@ -430,6 +430,18 @@
             }
         }
 
+        /** In portions: more at once would count as what the server leaves unread. */
+        private void releaseWaiting() {
+            int written = 0;
+            for (Map.Entry<String, byte[]> one : waitingReleases.entrySet()) {
+                release(one.getKey(), one.getValue());
+                if (++written % RELEASES_AT_ONCE == 0) {
+                    connection.flush();
+                }
+            }
+            waitingReleases.clear();
+        }
+
         private void sendWaiting() {
             List<String> stay = waitingSetUps.keySet().stream().filter(givenUp::containsKey).toList();
             waitingSetUps.forEach((call, bytes) -> {
@@ -593,7 +605,7 @@
                     if (isOfEarlierAttempt(call)) {
                         return;
                     }
-                    if (!message.hasCause()) {
+                    if (!message.hasCause() && (sent.containsKey(call) || controller.get().stands(call))) {
                         unusable(call, "no cause of one byte");
                         return;
                     }
@@ -601,7 +613,8 @@
                     controller.get().released(server.id(), call, Cause.ending(message.cause(),
                             message.text(Message.NOTE)), Duration.ZERO);
                 }
-                case Message.PROGRESS, Message.RELEASE_HEARD, Message.TEST_RESULT -> { }
+                case Message.RELEASE_HEARD -> givenUp.remove(call);   // nothing more comes of what was given up
+                case Message.PROGRESS, Message.TEST_RESULT -> { }
                 case Message.GROUP_STATE -> groupState(message);
                 default -> throw new BadInput("a message of type " + message.type);
             }
@@ -647,12 +660,12 @@
         /** A state such as {@code free:12;size:299}: the server's free lines and all its lines. */
         private void groupState(Message message) {
             Instant now = scheduler.now();
-            if (tellsLines) {
+            if (linesAt != null) {
                 Duration wait = Duration.between(linesAt, now);
                 lines.told(wait, lastWait);
                 lastWait = wait;
             }
-            linesAt = now;
+            linesAt = tellsLines ? now : null;   // the first come with the connection, whenever in the period that is
             tellsLines = true;
             everToldLines = true;
             takingAt = now;
