--- a/review/rig/DiaClient.java
+++ b/review/rig/DiaClient.java
@@ -24,6 +24,11 @@
 
     /** Connects and exchanges capabilities. */
     void connect() throws IOException {
+        connect(true);
+    }
+
+    /** Like {@link #connect()}; without reading, whatever comes is lost with the connection. */
+    void connect(boolean reads) throws IOException {
         Socket opened = new Socket(Rig.loopback(), port);
         opened.setTcpNoDelay(true);
         socket = opened;
@@ -33,6 +38,9 @@
         Dia answer = Dia.read(in);
         Rig.require(answer != null && answer.number(Dia.RESULT) == 2001, "capabilities were not accepted");
         rig.rec.say(host + " is connected");
+        if (!reads) {
+            return;
+        }
         Rig.daemon(host, () -> {
             try {
                 for (Dia message = Dia.read(in); message != null; message = Dia.read(in)) {
--- a/review/rig/ProbeDrainVanish.java
+++ b/review/rig/ProbeDrainVanish.java
@@ -29,11 +29,7 @@
         SessionServer drained = servers.get(0);
         long[] vanished = new long[1];
         List<Long> held = new ArrayList<>();
-        rig.after(6_000, () -> {
-            if (!Boolean.getBoolean("running")) {
-                bus.tell(List.of(new Bus.Entry(drained, Bus.DRAINING, 0, 0)));
-            }
-        });
+        rig.after(6_000, () -> bus.tell(List.of(new Bus.Entry(drained, Bus.DRAINING, 0, 0))));
         if (rig.hasTrouble) {
             rig.after(8_000, () -> {
                 held.addAll(drained.standing());
--- a/review/rig/ProbeKill.java
+++ b/review/rig/ProbeKill.java
@@ -6,14 +6,14 @@
 import java.util.Random;
 
 /** A call controller is killed and started again; callers end the calls that stood before over the new process. */
-final class CaseKill {
+final class ProbeKill {
 
     private static final int RATE = 190;
     private static final int CALLERS = 1;
     private static final int LOAD_MILLIS = 11_000;
 
     public static void main(String[] args) throws Exception {
-        Rig.main(args, CaseKill::run);
+        Rig.main(args, ProbeKill::run);
     }
 
     private static boolean run(Rig rig) throws Exception {
--- a/review/rig/ProbeLostAnswer.java
+++ b/review/rig/ProbeLostAnswer.java
@@ -3,13 +3,13 @@
 import java.util.Random;
 
 /** Connections to a session server are reset while an answer is on its way; the call stands there already. */
-final class CaseLostAnswer {
+final class ProbeLostAnswer {
 
     private static final int RATE = 30;
     private static final int LOAD_MILLIS = 24_000;
 
     public static void main(String[] args) throws Exception {
-        Rig.main(args, CaseLostAnswer::run);
+        Rig.main(args, ProbeLostAnswer::run);
     }
 
     private static boolean run(Rig rig) throws Exception {
