--- a/review/rig/CaseRestart.java
+++ b/review/rig/CaseRestart.java
@@ -69,6 +69,7 @@
         rig.rec.say(client.summary());
         Rig.require(controller.isAlive(), "the call controller is gone");
         int broken = 0;
+        int toldWrongly = 0;
         for (SessionServer server : servers) {
             rig.rec.say(server.name + ": " + server.setups + " set-ups, " + server.releases + " releases, "
                     + server.standing().size() + " calls still stand");
@@ -77,12 +78,13 @@
                 Rig.require(known.state == Client.State.TOLD_OVER || known.state == Client.State.RELEASED,
                         "the caller did not end " + SessionServer.hex(call));
                 broken++;
+                toldWrongly += known.state == Client.State.TOLD_OVER ? 1 : 0;
                 rig.rec.line("left standing at " + server.name + ": " + SessionServer.hex(call) + ", caller's state "
                         + known.state + ", told cause " + known.cause + " "
                         + (System.nanoTime() - known.changedNanos) / 1_000_000 + " ms ago");
             }
         }
-        rig.rec.say(broken + " calls were left standing");
+        rig.rec.say(broken + " calls were left standing, of " + toldWrongly + " the caller was told that they are over");
         return broken == 0;
     }
 }
