Calls at a restarted server outlive the list's late word of the restart

Clients saw: a session server restarts, calls are set up at its new process, and 3 s later, when the server list reports the restart, all of them are released as cut.

Cause: ServerTable.update took a later start time to mean that every call at the server is lost, and resetCallsAt ended them with a notification of the client alone. When a call was sent was not compared with when the process started.

Change: the list's start time goes to EstablishedCalls.processReplaced. A call that was sent at or after it stays. One answered over 500 ms before it is lost. What lies between (a request that waited for the new process, clocks that differ) is ended and also released at the server, so that nothing is left established there whichever process has it.

--- a/core/src/main/java/pathlane/core/AttemptManager.java
+++ b/core/src/main/java/pathlane/core/AttemptManager.java
@@ -89,15 +89,15 @@
     /** Handles the server's answer to the attempt in flight: the call is established there. */
     void answered(Call call, Server server, byte[] description) {
         String id = call.id();
-        Instant sentAt = call.sentAt();
+        Instant now = context.scheduler().now();
+        Duration elapsed = Duration.between(call.sentAt(), now);
         context.counters().count(Name.ESTABLISHED);
-        CallTrace.step(id, "established at {0} after {1} ms", server.id(),
-                Duration.between(sentAt, context.scheduler().now()));
-        context.calls().established(call, server);
+        CallTrace.step(id, "established at {0} after {1} ms", server.id(), elapsed);
+        context.calls().established(call, server, now);
         context.replication().callEstablished(id, server.id(), call.client());
         context.replication().deliverAnswer(id, call.request().callClass(), () -> call.client().answer(id, description));
         int attempt = call.lastAttempt();
-        double elapsedMs = Millis.of(Duration.between(sentAt, context.scheduler().now()));
+        double elapsedMs = Millis.of(elapsed);
         context.policyEvents().post(at -> call.service().policy().callEstablished(at, id, attempt, server.id(), elapsedMs));
     }
 
--- a/core/src/main/java/pathlane/core/Call.java
+++ b/core/src/main/java/pathlane/core/Call.java
@@ -23,8 +23,8 @@
     /** An attempt is in flight; it times out when the timer fires. */
     private record InFlight(Attempt attempt, Scheduler.Timer timeoutTimer) implements State {}
 
-    /** A server has answered. The attempt is empty if another controller made it. */
-    private record Established(Server server, Optional<Attempt> attempt) implements State {}
+    /** A server has answered, as known since then. The attempt is empty if another controller made it. */
+    private record Established(Server server, Optional<Attempt> attempt, Instant since) implements State {}
 
     private static final State WAITING = new Waiting();
 
@@ -53,7 +53,7 @@
 
     /** Creates a call that another controller established at this server. */
     static Call adopted(String id, Server server, Instant now, ClientPort client) {
-        State established = new Established(server, Optional.empty());
+        State established = new Established(server, Optional.empty(), now);
         return new Call(server.service(), CallRequest.ofEstablishedCall(id), now, client, established);
     }
 
@@ -70,11 +70,11 @@
     }
 
     /** Changes from in flight to established, and cancels the attempt's timeout and the deadline timer. */
-    void established() {
+    void established(Instant now) {
         InFlight inFlight = (InFlight) state;
         inFlight.timeoutTimer.cancel();
         cancelDeadlineTimer();
-        state = new Established(inFlight.attempt.server, Optional.of(inFlight.attempt));
+        state = new Established(inFlight.attempt.server, Optional.of(inFlight.attempt), now);
     }
 
     /** Changes to waiting after the attempt or established call ended; returns the attempt if this controller made it. */
@@ -172,6 +172,16 @@
         return attempt().orElseThrow().sentAt;
     }
 
+    /** Returns whether the current attempt was sent before that time; true if another controller sent it, time unknown. */
+    boolean wasSentBefore(Instant time) {
+        return attempt().map(current -> current.sentAt.isBefore(time)).orElse(true);
+    }
+
+    /** Returns whether the call has been known to be established since before that time. */
+    boolean wasEstablishedBefore(Instant time) {
+        return state instanceof Established established && established.since.isBefore(time);
+    }
+
     /** Returns the number of the last attempt, from 0. */
     int lastAttempt() {
         return attempts - 1;
--- a/core/src/main/java/pathlane/core/CallController.java
+++ b/core/src/main/java/pathlane/core/CallController.java
@@ -64,19 +64,16 @@
         context =
                 new ControllerContext(effective, scheduler, counters, replication, new PolicyEventQueue(scheduler), clients,
                         calls);
-        servers = new ServerTable(ports, this::resetCallsAt);
+        servers = new ServerTable(ports);
         attempts = new AttemptManager(context, servers);
         open = new OpenCalls(context, directory, this::service, attempts);
         established = new EstablishedCalls(context, servers, attempts);
+        servers.bind(established);
         if (directory == ServiceDirectory.SINGLE_SERVICE) {
             service(ServiceDirectory.ONLY_SERVICE);   // created at the start, not at the first call
         }
     }
 
-    private void resetCallsAt(Server server) {
-        established.resetCallsAt(server);
-    }
-
     private Service service(String name) {
         return services.computeIfAbsent(name, key -> {
             PolicyActions actions = new PolicyActions(context, attempts);
--- a/core/src/main/java/pathlane/core/CallTable.java
+++ b/core/src/main/java/pathlane/core/CallTable.java
@@ -1,5 +1,6 @@
 package pathlane.core;
 
+import java.time.Instant;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -57,8 +58,8 @@
     }
 
     /** Marks a call as established at a server. */
-    void established(Call call, Server server) {
-        call.established();
+    void established(Call call, Server server, Instant now) {
+        call.established(now);
         server.callEstablished();
         ClientConnections.Usage usage = clients.usage(call.client());
         usage.open--;
--- a/core/src/main/java/pathlane/core/EstablishedCalls.java
+++ b/core/src/main/java/pathlane/core/EstablishedCalls.java
@@ -1,5 +1,7 @@
 package pathlane.core;
 
+import java.time.Duration;
+import java.time.Instant;
 import java.util.List;
 import java.util.Optional;
 import pathlane.core.Counters.Name;
@@ -9,9 +11,11 @@
  * Ends established calls, on a release by either side or on the loss of their server, and adopts and disowns calls that move
  * between controllers of a group. Runs on the event loop's thread.
  */
-final class EstablishedCalls {
+final class EstablishedCalls implements ServerTable.LossListener {
 
     private static final byte[] NO_CONTENT = {};
+    /** How much the clock by which the server list states start times may differ from this controller's. */
+    private static final Duration MAX_CLOCK_OFFSET = Duration.ofMillis(500);
 
     private final ControllerContext context;
     private final ServerTable servers;
@@ -68,9 +72,25 @@
         notifyClient(ClientPort.UNKNOWN, id, outcome);
     }
 
-    /** Ends all calls that are established at a server with {@link Outcome#RESET}. */
-    void resetCallsAt(Server server) {
-        context.calls().establishedAt(server).forEach(call -> end(call, Outcome.RESET));
+    /** Ends all calls that are established at a server, whose process no longer runs. */
+    @Override
+    public void serverRemoved(Server server) {
+        serverLost(server, true);
+    }
+
+    /**
+     * Ends the calls that were established at a server before its present process started. The server list reports a restart
+     * late, so calls may be established at the present process already; these are not affected. A call is also released if
+     * its request may have waited for the present process, or if the clocks differ: it would otherwise stay established.
+     */
+    @Override
+    public void processReplaced(Server server, Instant startedAt) {
+        Instant certainBefore = startedAt.minus(MAX_CLOCK_OFFSET);
+        for (Call call : context.calls().establishedAt(server)) {
+            if (call.wasSentBefore(startedAt)) {
+                lose(call, server, call.wasEstablishedBefore(certainBefore));
+            }
+        }
     }
 
     /**
@@ -78,12 +98,14 @@
      * calls are also released in case it becomes reachable again; otherwise they would stay established there forever.
      */
     void serverLost(Server server, boolean isCertain) {
-        for (Call call : context.calls().establishedAt(server)) {
-            if (isCertain || context.replication().mayAct(call.id())) {
-                end(call, Outcome.RESET);
-                if (!isCertain) {
-                    releaseAt(server, call.id(), NO_CONTENT);
-                }
+        context.calls().establishedAt(server).forEach(call -> lose(call, server, isCertain));
+    }
+
+    private void lose(Call call, Server server, boolean isCertain) {
+        if (isCertain || context.replication().mayAct(call.id())) {
+            end(call, Outcome.RESET);
+            if (!isCertain) {
+                releaseAt(server, call.id(), NO_CONTENT);
             }
         }
     }
--- a/core/src/main/java/pathlane/core/ServerTable.java
+++ b/core/src/main/java/pathlane/core/ServerTable.java
@@ -9,7 +9,6 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.TreeMap;
-import java.util.function.Consumer;
 import pathlane.config.Millis;
 import pathlane.decision.RoutingPolicy.ListedServer;
 import pathlane.decision.ServerStatus;
@@ -23,15 +22,28 @@
      */
     record Change(List<ListedServer> entries, List<Runnable> followUps) {}
 
+    /** Receives what the server list shows of servers whose established calls are lost. */
+    interface LossListener {
+
+        /** The server's process was replaced by one that started at this time; calls may be established there already. */
+        void processReplaced(Server server, Instant startedAt);
+
+        /** The server was removed from the list. */
+        void serverRemoved(Server server);
+    }
+
     private final CallController.ServerPortFactory ports;
-    private final Consumer<Server> onCallsLost;
     private final Map<Long, Server> servers = new TreeMap<>();
     private final RemovedServers removed = new RemovedServers();
+    private LossListener losses;
 
-    /** {@code onCallsLost} receives a server whose process was replaced or that was removed from the server list. */
-    ServerTable(CallController.ServerPortFactory ports, Consumer<Server> onCallsLost) {
+    ServerTable(CallController.ServerPortFactory ports) {
         this.ports = ports;
-        this.onCallsLost = onCallsLost;
+    }
+
+    /** Sets the receiver of losses; called once, before the first update of the server list. */
+    void bind(LossListener listener) {
+        losses = listener;
     }
 
     Optional<Server> find(long id) {
@@ -83,8 +95,7 @@
     private void update(Service service, ServerEndpoint endpoint, Change change) {
         Server existing = servers.get(endpoint.id());
         if (existing != null && endpoint.startedAt().isAfter(existing.endpoint().startedAt())) {
-            // Calls that were established at the old process are lost.
-            change.followUps.add(() -> onCallsLost.accept(existing));
+            change.followUps.add(() -> losses.processReplaced(existing, endpoint.startedAt()));
         }
         boolean hasMoved = existing != null && !existing.endpoint().address().equals(endpoint.address());
         boolean isReplaced = existing != null && (existing.isGone() || hasMoved);
@@ -110,7 +121,7 @@
         server.update(server.endpoint().withStatus(ServerStatus.GONE));
         change.followUps.add(() -> {
             server.port().close();
-            onCallsLost.accept(server);
+            losses.serverRemoved(server);
             removed.add(server.id());
             servers.remove(server.id(), server);   // not kept: new servers have new ids
         });
