A Diameter request that its client repeats takes over the attempt that is in flight

Cause: the end of a client's connection abandoned the call, as on the platform, where it gives the request up and the server is notified. Diameter can't cancel a request and repeats it under the same id; the call's attempt and its retry delay were forgotten with it, so nothing held the repeated request back. ClientPeer also removed the T flag.

Change: ClientFailover keeps a call with an attempt in flight for a client that repeats its requests. The same request over another connection takes it over, with an answer that came meanwhile; no attempt begins while the client is away; a session without its client is terminated at the deadline. EndedCalls keeps a lost attempt's retry delay beyond the end of its call, for both fronts. The T flag of a client goes on. RetainedEntries holds the bounded map that stood twice.

--- a/core/src/main/java/pathlane/core/AttemptManager.java
+++ b/core/src/main/java/pathlane/core/AttemptManager.java
@@ -122,15 +122,27 @@
         if (outcome.isLost()) {
             call.attemptLost(now.plus(context.retryDelay()));
         }
-        if (!isCallClosed && !wasEstablished) {
+        boolean isClosed = isCallClosed || !wasEstablished && abandonIfDisconnected(call);
+        if (!isClosed && !wasEstablished) {
             Duration wait = Duration.between(now, call.notBefore());
             context.replication().attemptEnded(call.id(), server.id(), wait.isNegative() ? Duration.ZERO : wait,
                     call.client());
         }
         double elapsedMs = Millis.of(Duration.between(ended.get().sentAt(), now));
         AttemptResult result =
-                new AttemptResult(call.id(), call.lastAttempt(), server.id(), outcome, isCallClosed, elapsedMs,
+                new AttemptResult(call.id(), call.lastAttempt(), server.id(), outcome, isClosed, elapsedMs,
                         Millis.of(retryAfter), null);
         context.policyEvents().post(at -> call.service().policy().attemptEnded(at, result));
     }
+
+    /** Gives up a call whose client's connection is lost, as no attempt may begin for it; returns whether it did. */
+    private boolean abandonIfDisconnected(Call call) {
+        if (call.isClientConnected()) {
+            return false;
+        }
+        context.counters().count(Name.GIVEN_UP_BY_CLIENT);
+        call.cancelDeadlineTimer();
+        context.complete(call);
+        return true;
+    }
 }
--- a/core/src/main/java/pathlane/core/Call.java
+++ b/core/src/main/java/pathlane/core/Call.java
@@ -48,7 +48,9 @@
 
     /** Creates a call that a client has requested; its final answer is due at the deadline. */
     static Call requested(Service service, CallRequest request, Instant deadline, ClientPort client) {
-        return new Call(service, request, deadline, client, WAITING);
+        Call call = new Call(service, request, deadline, client, WAITING);
+        call.mayHaveRun = request.mayHaveRun();
+        return call;
     }
 
     /** Creates a call that another controller established at this server. */
@@ -133,6 +135,11 @@
         return client;
     }
 
+    /** Returns whether the answer can be sent; if not, the client may come back for it. */
+    boolean isClientConnected() {
+        return !(client instanceof ClientFailover.DisconnectedClient);
+    }
+
     /** Returns whether a server has answered the call. */
     boolean isEstablished() {
         return state instanceof Established;
--- a/core/src/main/java/pathlane/core/CallController.java
+++ b/core/src/main/java/pathlane/core/CallController.java
@@ -35,6 +35,8 @@
     private final ServerTable servers;
     private final AttemptManager attempts;
     private final OpenCalls open;
+    private final ClientFailover failover;
+    private final EndedCalls endedCalls = new EndedCalls();
     private final EstablishedCalls established;
 
     /** Creates a controller that belongs to no group and has a single service. */
@@ -63,11 +65,12 @@
         Settings effective = settings.withRetryDelay(settings.rules().retryDelay().plus(ControllerContext.RETRY_MARGIN));
         context =
                 new ControllerContext(effective, scheduler, counters, replication, new PolicyEventQueue(scheduler), clients,
-                        calls);
+                        calls, endedCalls);
         servers = new ServerTable(ports);
         attempts = new AttemptManager(context, servers);
-        open = new OpenCalls(context, directory, this::service, attempts);
         established = new EstablishedCalls(context, servers, attempts);
+        failover = new ClientFailover(context, established);
+        open = new OpenCalls(context, directory, this::service, attempts, failover);
         servers.bind(established);
         if (directory == ServiceDirectory.SINGLE_SERVICE) {
             service(ServiceDirectory.ONLY_SERVICE);   // created at the start, not at the first call
@@ -107,7 +110,7 @@
 
     /** Returns the number of entries of every kind held in memory; it must not grow with uptime. */
     public int retainedEntries() {
-        return calls.size() + servers.size() + clients.retainedEntries();
+        return calls.size() + servers.size() + clients.retainedEntries() + endedCalls.size();
     }
 
     // ---- from clients
@@ -117,10 +120,13 @@
         clients.connected(client, replication::callCompleted);
     }
 
-    /** Handles the end of a client's connection: its open calls are abandoned; established calls are not affected. */
+    /**
+     * Handles the end of a client's connection: its open calls are abandoned, but those in flight are kept for a client that
+     * repeats its requests over another connection; established calls are not affected.
+     */
     public void clientDisconnected(ClientPort client) {
         if (clients.disconnected(client).open > 0) {
-            calls.openOf(client).forEach(open::abandon);
+            calls.openOf(client).forEach(open::clientDisconnected);
         }
     }
 
@@ -160,10 +166,10 @@
     /**
      * Handles the same request sent again by the same client over another connection; the answer goes there from now on.
      *
-     * @return false if the request is not the same, or its call is not open
+     * @return false if the request is not the same, or its call is not open and was not kept for the client
      */
     public boolean resubmit(CallRequest request, ClientPort client) {
-        return open.resubmit(request, client);
+        return failover.resubmit(request, client);
     }
 
     /**
@@ -175,10 +181,11 @@
     public boolean clientReleased(String id, byte[] content, ClientPort from) {
         Optional<Call> known = calls.find(id);
         if (known.isEmpty()) {
-            return !clients.hasRecentlyEnded(id) && replication.delegate(new CallEvent.Released(id, content));
+            return !endedCalls.contains(id) && replication.delegate(new CallEvent.Released(id, content));
         }
         Call call = known.get();
-        if (call.isEstablished() ? !from.isSameClient(call.client()) : call.client() != from) {
+        boolean isBoundToConnection = !call.isEstablished() && call.isClientConnected();
+        if (isBoundToConnection ? call.client() != from : !from.isSameClient(call.client())) {
             return false;
         }
         if (call.isEstablished()) {
@@ -191,7 +198,7 @@
 
     /** Releases an unknown call, which dates from before this process started, at every server. */
     public void releaseUnknown(String id) {
-        if (!clients.hasRecentlyEnded(id) && !calls.contains(id)) {
+        if (!endedCalls.contains(id) && !calls.contains(id)) {
             established.releaseAtAllServers(id);
         }
     }
@@ -238,7 +245,7 @@
         Optional<Call> known = calls.find(id);
         if (known.isEmpty()) {
             CallEvent event = new CallEvent.Ended(id, outcome);
-            if (!clients.hasRecentlyEnded(id) && !replication.delegate(event)) {
+            if (!endedCalls.contains(id) && !replication.delegate(event)) {
                 handleUnowned(event);
             }
             return;
@@ -321,7 +328,7 @@
 
     /** Notifies a client of a call's end in place of a controller that is gone. */
     public void deliverRelease(String id, ClientPort client, Outcome outcome) {
-        clients.callEnded(id);
+        endedCalls.add(id, context.scheduler().now());
         established.notifyClient(client, id, outcome);
     }
 
--- a/core/src/main/java/pathlane/core/CallTable.java
+++ b/core/src/main/java/pathlane/core/CallTable.java
@@ -67,10 +67,18 @@
         usage.hasHadEstablishedCall = true;
     }
 
-    /** Moves an open call to another connection of its client, which gets the answer. */
+    /** Moves a call to another connection of its client, which gets the answer. */
     void moveTo(Call call, ClientPort client) {
-        clients.usage(call.client()).open--;
-        clients.usage(client).open++;
+        ClientConnections.Usage previous = clients.usage(call.client());
+        ClientConnections.Usage next = clients.usage(client);
+        if (call.isEstablished()) {
+            previous.established--;
+            next.established++;
+            next.hasHadEstablishedCall = true;
+        } else {
+            previous.open--;
+            next.open++;
+        }
         call.moveTo(client);
     }
 
--- a/core/src/main/java/pathlane/core/ClientConnections.java
+++ b/core/src/main/java/pathlane/core/ClientConnections.java
@@ -1,14 +1,10 @@
 package pathlane.core;
 
-import java.time.Duration;
-import java.time.Instant;
-import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.Consumer;
-import java.util.function.Predicate;
 import pathlane.decision.Outcome;
 
 /**
@@ -17,11 +13,6 @@
  */
 final class ClientConnections {
 
-    /** How long an ended call is remembered, so that late messages from its server or client are ignored. */
-    private static final Duration RETENTION_PERIOD = Duration.ofSeconds(60);
-    /** Maximum number of ended calls, and of pending releases, that are kept. */
-    private static final int MAX_RETAINED_ENTRIES = 10_000;
-
     /** The number of calls on a client's connection. */
     static final class Usage {
         int open;
@@ -31,12 +22,11 @@
     }
 
     /** A release that waits for a connection to its client. */
-    private record PendingRelease(ClientPort client, Outcome outcome, Instant since) {}
+    private record PendingRelease(ClientPort client, Outcome outcome) {}
 
     private final Scheduler scheduler;
     private final Map<ClientPort, Usage> connections = new LinkedHashMap<>();
-    private final Map<String, PendingRelease> pendingReleases = new LinkedHashMap<>();
-    private final Map<String, Instant> endedAt = new LinkedHashMap<>();
+    private final RetainedEntries<PendingRelease> pendingReleases = new RetainedEntries<>();
 
     ClientConnections(Scheduler scheduler) {
         this.scheduler = scheduler;
@@ -45,12 +35,11 @@
     /** Adds a connection and sends the releases pending for its client; {@code onDelivered} receives the call id of each. */
     void connected(ClientPort client, Consumer<String> onDelivered) {
         connections.put(client, new Usage());
-        pendingReleases.entrySet().removeIf(pending -> {
-            PendingRelease release = pending.getValue();
+        pendingReleases.removeIf((callId, release) -> {
             boolean isDelivered = client.isSameClient(release.client());
             if (isDelivered) {
-                client.release(pending.getKey(), release.outcome());
-                onDelivered.accept(pending.getKey());
+                client.release(callId, release.outcome());
+                onDelivered.accept(callId);
             }
             return isDelivered;
         });
@@ -79,9 +68,7 @@
             connection.get().release(callId, outcome);
             return true;
         }
-        Instant now = scheduler.now();
-        pendingReleases.put(callId, new PendingRelease(client, outcome, now));
-        evictOldest(pendingReleases.values().iterator(), release -> isExpired(release.since(), now), pendingReleases.size());
+        pendingReleases.put(callId, new PendingRelease(client, outcome), scheduler.now());
         return false;
     }
 
@@ -100,31 +87,8 @@
         pendingReleases.remove(callId);
     }
 
-    /** Remembers for a while that a call has ended. */
-    void callEnded(String callId) {
-        Instant now = scheduler.now();
-        endedAt.put(callId, now);
-        evictOldest(endedAt.values().iterator(), endTime -> isExpired(endTime, now), endedAt.size());
-    }
-
-    /** Returns whether a call has recently ended. */
-    boolean hasRecentlyEnded(String callId) {
-        return endedAt.containsKey(callId);
-    }
-
-    private static boolean isExpired(Instant since, Instant now) {
-        return since.plus(RETENTION_PERIOD).isBefore(now);
-    }
-
-    /** Removes expired and excess entries, oldest first, to bound memory whatever the uptime or the number of clients. */
-    private static <T> void evictOldest(Iterator<T> oldestFirst, Predicate<T> isExpired, int size) {
-        for (int left = size; left > 0 && (isExpired.test(oldestFirst.next()) || left > MAX_RETAINED_ENTRIES); left--) {
-            oldestFirst.remove();
-        }
-    }
-
     /** Returns the number of entries of every kind held in memory. */
     int retainedEntries() {
-        return connections.size() + pendingReleases.size() + endedAt.size();
+        return connections.size() + pendingReleases.size();
     }
 }
--- a/core/src/main/java/pathlane/core/ClientPort.java
+++ b/core/src/main/java/pathlane/core/ClientPort.java
@@ -36,6 +36,14 @@
     /** Forwards a server's reply to a message forwarded within an established call. */
     default void forwardReply(String callId, byte[] content) {}
 
+    /**
+     * Returns whether the client repeats its unanswered requests over another connection when this one ends. A client that
+     * does not has given them up with the connection.
+     */
+    default boolean repeatsRequests() {
+        return false;
+    }
+
     /** Called when the answer to a request goes to another connection of the same client from now on. */
     default void superseded(String callId) {}
 
--- a/core/src/main/java/pathlane/core/EstablishedCalls.java
+++ b/core/src/main/java/pathlane/core/EstablishedCalls.java
@@ -56,7 +56,9 @@
         }
         context.counters().count(outcome == Outcome.COMPLETED ? Name.RELEASED_BY_SERVER : Name.CUT);
         context.complete(call);
-        notifyClient(call.client(), id, outcome);
+        if (call.isClientConnected()) {
+            notifyClient(call.client(), id, outcome);
+        }
         attempts.end(call, outcome, true);
     }
 
--- a/core/src/main/java/pathlane/core/OpenCalls.java
+++ b/core/src/main/java/pathlane/core/OpenCalls.java
@@ -2,7 +2,6 @@
 
 import java.time.Duration;
 import java.time.Instant;
-import java.util.Arrays;
 import java.util.Optional;
 import java.util.function.Function;
 import pathlane.config.Millis;
@@ -23,14 +22,16 @@
     private final ServiceDirectory directory;
     private final Function<String, Service> services;
     private final AttemptManager attempts;
+    private final ClientFailover failover;
 
     /** {@code services} finds a service by its name, or creates it. */
     OpenCalls(ControllerContext context, ServiceDirectory directory, Function<String, Service> services,
-            AttemptManager attempts) {
+            AttemptManager attempts, ClientFailover failover) {
         this.context = context;
         this.directory = directory;
         this.services = services;
         this.attempts = attempts;
+        this.failover = failover;
     }
 
     /** Accepts a client's request for a call that is not known yet. */
@@ -48,11 +49,11 @@
         Duration remaining = request.remainingDeadline().minus(scheduler.lag());
         Instant deadline = scheduler.now().plus(remaining);
         Call call = Call.requested(services.apply(serviceName.get()), request, deadline, client);
+        Duration delay = delayBeforeFirstAttempt(call);
         CallTrace.step(request.id(), "accepted, answer due in {0} ms, event loop lag {1} ms", remaining, scheduler.lag());
         context.calls().addOpen(call);
         // Whatever the policy decides, an open call gets its final answer at the deadline.
         call.setDeadlineTimer(scheduler.after(remaining, () -> rejectOverdue(call)));
-        Duration delay = context.replication().delayBeforeFirstAttempt(request.id());
         if (delay.isZero()) {
             resolveService(call);
         } else {
@@ -60,6 +61,18 @@
         }
     }
 
+    /** How long to wait for the release of an attempt of the same call that this or another controller has lost. */
+    private Duration delayBeforeFirstAttempt(Call call) {
+        Duration delay = context.replication().delayBeforeFirstAttempt(call.id());
+        Optional<EndedCalls.EndedCall> ended = context.endedCalls().find(call.id()).filter(EndedCalls.EndedCall::mayHaveRun);
+        if (ended.isEmpty()) {
+            return delay;
+        }
+        call.attemptLost(ended.get().notBefore());
+        Duration ownDelay = Duration.between(context.scheduler().now(), ended.get().notBefore());
+        return ownDelay.compareTo(delay) > 0 ? ownDelay : delay;
+    }
+
     private void resolveService(Call call) {
         if (!context.calls().isOpen(call)) {
             return;
@@ -97,18 +110,6 @@
         });
     }
 
-    /** Handles the same request from the same client over another connection; returns false if it is not the same. */
-    boolean resubmit(CallRequest request, ClientPort client) {
-        Optional<Call> open = context.calls().findOpen(request.id()).filter(call -> client.isSameClient(call.client())
-                && Arrays.equals(call.request().payload(), request.payload()));
-        open.ifPresent(call -> {
-            ClientPort previous = call.client();
-            context.calls().moveTo(call, client);
-            previous.superseded(request.id());
-        });
-        return open.isPresent();
-    }
-
     private void rejectOverdue(Call call) {
         if (context.calls().isOpen(call)) {
             context.counters().count(Name.ANSWERED_BY_GUARD);
@@ -119,6 +120,15 @@
         }
     }
 
+    /** Handles the end of the connection of a call's client. */
+    void clientDisconnected(Call call) {
+        if (call.isInFlight() && call.client().repeatsRequests()) {
+            failover.connectionLost(call);
+        } else {
+            abandon(call);
+        }
+    }
+
     /** Gives up a call whose client no longer waits: no answer is due, and an attempt in flight is cancelled. */
     void abandon(Call call) {
         CallTrace.step(call.id(), "given up by its client");
--- a/daemon/src/main/java/pathlane/diameter/ClientPeer.java
+++ b/daemon/src/main/java/pathlane/diameter/ClientPeer.java
@@ -93,9 +93,12 @@
     private void submit(String call, DiameterMessage request) {
         DiameterConfig.ServiceClass serviceClass = serviceOf(request);
         Avp destinationHost = request.find(Avp.DESTINATION_HOST);
+        boolean isRetransmitted = (request.flags() & DiameterMessage.RETRANSMITTED) != 0;
+        // Without the T flag a repeated request equals the first one. It is set again when the request is sent.
+        byte[] payload = forwarded(request, request.flags() & ~DiameterMessage.RETRANSMITTED).bytes();
         CallRequest callRequest =
                 new CallRequest(call, serviceClass.classIndex(), subscriberOf(call, request), serviceClass.timeout(),
-                        config.poolOf(destinationHost == null ? "" : destinationHost.text()), forwarded(request).bytes());
+                        config.poolOf(destinationHost == null ? "" : destinationHost.text()), payload, isRetransmitted);
         DiameterMessage earlier = unansweredRequests.put(call, request);
         if (controller.submit(callRequest, this)) {
             return;
@@ -152,11 +155,15 @@
         return call;
     }
 
-    /** The request as it is forwarded, with a Route-Record of the peer that sent it (RFC 6733, section 6.1.9). */
     private DiameterMessage forwarded(DiameterMessage request) {
+        return forwarded(request, request.flags());
+    }
+
+    /** The request as it is forwarded, with a Route-Record of the peer that sent it (RFC 6733, section 6.1.9). */
+    private DiameterMessage forwarded(DiameterMessage request, int flags) {
         List<Avp> avps = new ArrayList<>(request.avps());
         avps.add(Avp.of(Avp.ROUTE_RECORD, session.peer()));
-        return request.withHop(0, request.flags() & ~DiameterMessage.RETRANSMITTED, avps);
+        return request.withHop(0, flags, avps);
     }
 
     @Override
@@ -236,6 +243,11 @@
                 avps);
     }
 
+    @Override
+    public boolean repeatsRequests() {
+        return true;   // RFC 6733, section 5.5.4
+    }
+
     @Override
     public String clientKey() {
         return session.peer();
