--- a/net/src/main/java/pathlane/net/MillisRoundingIoHandler.java
+++ b/net/src/main/java/pathlane/net/MillisRoundingIoHandler.java
@@ -10,8 +10,7 @@
 /**
  * Rounds the event loop's wait for its next timer up to a full millisecond. The selector's timeout has millisecond
  * resolution and Netty rounds to the nearest: half of all waits would end up to half a millisecond early, and the loop would
- * spin, with several system calls per iteration, until the timer is due. With a hundred such processes, each on a small
- * share of a core, that costs more than the processing of all calls.
+ * spin until the timer is due, which makes an idle loop cost more processor time.
  */
 final class MillisRoundingIoHandler implements IoHandler {
 
