--- a/review/rig-2/Rig.java
+++ b/review/rig-2/Rig.java
@@ -79,6 +79,16 @@
         System.out.println(text);
     }
 
+    /** Adds a line to the record alone. */
+    synchronized void detail(String line) {
+        record.println(line);
+    }
+
+    /** The time since the start of the case, for a line of the record. */
+    String since(long at) {
+        return at == 0 ? "-" : Long.toString(at - startedAt);
+    }
+
     /** A port that was free a moment ago, on the loopback address. */
     static int freePort() {
         try (ServerSocket socket = new ServerSocket(0, 1, LOOPBACK)) {
