--- a/review/rig-2/PlatClient.java
+++ b/review/rig-2/PlatClient.java
@@ -52,7 +52,8 @@
     private final String name;
     private final int port;
     final List<Call> calls = new CopyOnWriteArrayList<>();
-    private final Map<Long, Call> byId = new ConcurrentHashMap<>();
+    /** All calls: what ends one may come on any connection from callers. */
+    private static final Map<Long, Call> BY_ID = new ConcurrentHashMap<>();
     /** Connections on which the call controller has sent anything. */
     private final Map<Socket, Boolean> used = new ConcurrentHashMap<>();
     /** How many of its connections were closed while calls on them had no answer. */
@@ -82,7 +83,7 @@
         boolean isUrgent = ThreadLocalRandom.current().nextDouble() < 0.06;
         Call call = new Call(isUrgent ? 2100 : 3150);
         calls.add(call);
-        byId.put(call.id, call);
+        BY_ID.put(call.id, call);
         send(call, isUrgent ? "deadline-sign" : "status-check", 3);
         TIMER.schedule(() -> giveUp(call), call.patience, TimeUnit.MILLISECONDS);
         return call;
@@ -121,7 +122,7 @@
             while (true) {
                 Plat.Msg message = Plat.read(in);
                 used.put(from, true);
-                Call call = byId.get(message.call());
+                Call call = BY_ID.get(message.call());
                 long now = System.currentTimeMillis();
                 if (call == null) {
                     continue;
@@ -131,7 +132,7 @@
                     call.stood = true;
                 } else if (message.type() == Plat.RELEASE) {
                     if (call.stood) {
-                        call.releasedAt = now;
+                        call.releasedAt = call.releasedAt == 0 ? now : call.releasedAt;
                     } else {
                         call.answeredAt = now;
                         call.cause = message.cause();
--- a/review/rig-2/PlatServer.java
+++ b/review/rig-2/PlatServer.java
@@ -18,7 +18,7 @@
 /**
  * A session server of the platform, as a process of its own. Usage: PlatServer PORT WORK_MS HOLD_MS. Its processor has one
  * line: each set-up takes WORK_MS of it, and is turned away once the wait passes 2500 ms. It prints a line for each event:
- * {@code setup ID}, {@code stands ID}, {@code givenup ID}, {@code over ID} (it ended the call), {@code cut ID} (the call
+ * {@code setup ID}, {@code stands ID}, {@code refused ID}, {@code givenup ID}, {@code dropped ID} (with its connection), {@code over ID} (it ended the call), {@code cut ID} (the call
  * controller did). It tells its free lines on each new connection, with each change, at least every 300 ms.
  */
 public final class PlatServer {
@@ -106,7 +106,11 @@
             }
         } catch (IOException e) {
             sockets.remove(socket);
-            open.values().removeIf(work -> work.socket == socket);   // the set-ups open on it are given up
+            open.forEach((id, work) -> {
+                if (work.socket == socket && open.remove(id, work)) {
+                    say("dropped " + String.format("%016x", id));   // the set-ups open on it are given up
+                }
+            });
             Rig.reset(socket);
         }
     }
@@ -118,6 +122,7 @@
                 say("setup " + message.id());
                 Work work = new Work(socket, message);
                 if (queue.size() * workMs > MAX_WAIT_MS) {
+                    say("refused " + message.id());
                     write(socket, Plat.Msg.of(Plat.RELEASE, id).cause(34).with(150, "queue_long"));
                 } else {
                     open.put(id, work);
@@ -167,10 +172,8 @@
         if (used != null) {
             write(used, Plat.Msg.of(Plat.RELEASE, id).cause(16));
         }
-        if (used != socket) {
-            synchronized (released) {
-                released.put(id, true);
-            }
+        synchronized (released) {
+            released.put(id, true);   // and on the next connection that opens as well
         }
     }
 }
--- a/review/rig-2/Proxy.java
+++ b/review/rig-2/Proxy.java
@@ -14,18 +14,17 @@
     volatile boolean dropsForward;
     /** What the target sends is read and dropped. */
     volatile boolean dropsBack;
-    /** Connections are accepted and closed at once. */
-    volatile boolean refuses;
-    /** Delay of new connections. */
+    /** Connections are accepted, and nothing comes of them. */
+    volatile boolean holds;
     volatile int target;
     volatile long droppedForward;
     volatile long droppedBack;
     final int port;
+    private final ServerSocket listener = new ServerSocket();
     private final List<Socket> sockets = new CopyOnWriteArrayList<>();
 
     Proxy(int target) throws IOException {
         this.target = target;
-        ServerSocket listener = new ServerSocket();
         listener.setReuseAddress(true);
         listener.bind(new InetSocketAddress(Rig.LOOPBACK, 0), 200);
         port = listener.getLocalPort();
@@ -53,8 +52,8 @@
     }
 
     private void accepted(Socket near) {
-        if (refuses) {
-            Rig.reset(near);
+        if (holds) {
+            sockets.add(near);
             return;
         }
         try {
@@ -91,6 +90,11 @@
         }
     }
 
+    /** Accepts no more connections: they are refused. */
+    void refuse() throws IOException {
+        listener.close();
+    }
+
     /** Resets all connections on both sides. */
     void resetAll() {
         List.copyOf(sockets).forEach(Rig::reset);
--- a/review/rig-2/Rig.java
+++ b/review/rig-2/Rig.java
@@ -13,6 +13,7 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import java.util.stream.Stream;
@@ -89,13 +90,17 @@
         return at == 0 ? "-" : Long.toString(at - startedAt);
     }
 
-    /** A port that was free a moment ago, on the loopback address. */
-    static int freePort() {
-        try (ServerSocket socket = new ServerSocket(0, 1, LOOPBACK)) {
-            return socket.getLocalPort();
-        } catch (IOException e) {
-            throw new CannotRun("no free port: " + e);
+    /** A port that was free a moment ago, below those that the system gives to outgoing connections. */
+    static synchronized int freePort() {
+        for (int i = 0; i < 200; i++) {
+            int port = 20_000 + ThreadLocalRandom.current().nextInt(12_000);
+            try (ServerSocket socket = new ServerSocket(port, 1, LOOPBACK)) {
+                return socket.getLocalPort();
+            } catch (IOException e) {
+                continue;   // in use
+            }
         }
+        throw new CannotRun("no free port");
     }
 
     static void sleep(long millis) throws InterruptedException {
