--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -5,3 +5,4 @@
 rm -rf "$here/target/rig-2"
 mkdir -p "$here/target/rig-2"
 javac --release 17 -d "$here/target/rig-2" "$here"/rig-2/*.java
+javac --release 17 -cp "$here/../example/grpc/target/example-grpc.jar" -d "$here/target/rig-2" "$here"/rig-2/grpc/*.java
--- a/review/rig-2/Rig.java
+++ b/review/rig-2/Rig.java
@@ -144,11 +144,12 @@
         return child("controller", new ProcessBuilder("/bin/sh", "-c", command), environment, lines);
     }
 
-    /** Starts one of the stand-ins as a process of its own. */
+    /** Starts one of the stand-ins as a process of its own; if the first argument is a jar, it is on the class path. */
     Process standIn(String name, Consumer<String> lines, String... arguments) throws IOException {
+        boolean hasJar = arguments[0].endsWith(".jar");
         List<String> command = new ArrayList<>(List.of("java", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Xmx128m",
-                "-cp", root.resolve("review/target/rig-2").toString()));
-        command.addAll(List.of(arguments));
+                "-cp", root.resolve("review/target/rig-2") + (hasJar ? ":" + arguments[0] : "")));
+        command.addAll(List.of(arguments).subList(hasJar ? 1 : 0, arguments.length));
         return child(name, new ProcessBuilder(command), Map.of(), lines);
     }
 
