Diameter: an AVP that must be text and is not UTF-8 is answered with 5004

A session id with replaced characters opened a call under another id, and an abort or a termination built from it would have named a session that its peer does not know.

Change: Avp.text decodes strictly and throws INVALID_AVP_VALUE with the AVP, which PeerSession answers.

--- a/daemon/src/main/java/pathlane/diameter/Avp.java
+++ b/daemon/src/main/java/pathlane/diameter/Avp.java
@@ -1,6 +1,7 @@
 package pathlane.diameter;
 
 import java.nio.ByteBuffer;
+import java.nio.charset.CharacterCodingException;
 import java.nio.charset.StandardCharsets;
 
 /** One attribute-value pair (RFC 6733, section 4); the vendor id is zero if there is none. */
@@ -98,8 +99,15 @@
         return (ALIGNMENT_BYTES - length % ALIGNMENT_BYTES) % ALIGNMENT_BYTES;
     }
 
+    /**
+     * The value as UTF-8 text, decoded strictly: a replaced session id would name another session when it is encoded again.
+     */
     String text() {
-        return new String(data, StandardCharsets.UTF_8);
+        try {
+            return StandardCharsets.UTF_8.newDecoder().decode(ByteBuffer.wrap(data)).toString();
+        } catch (CharacterCodingException e) {
+            throw new DiameterException(ResultCode.INVALID_AVP_VALUE, this, "AVP " + code + " is not UTF-8 text");
+        }
     }
 
     /** The value as a 32-bit number. */
