gRPC plug-in: a call whose attempt ends at its deadline gets its final answer

Applications saw calls that never ended while a session server was silent: neither a response nor a status came, and a blocking call hung for good.

Cause: gRPC's deadline closes the stream at about the time at which the controller's timer gives the attempt up. If another thread was in the engine, the end of the stream waited behind that timer; abandon() returned false for the ended attempt, cancelAttempt read that as "the answer is about to be delivered", and the call dropped the controller's final answer.

Change: abandon() returns false only for an established attempt. Related: a cancellation by the application met a null stream and the call was attempted again; the attempt's own stream is used now.

--- a/grpc/src/main/java/pathlane/grpc/Attempt.java
+++ b/grpc/src/main/java/pathlane/grpc/Attempt.java
@@ -105,17 +105,19 @@
         }
     }
 
-    /** Abandons the attempt. Returns false if it is already established, so that its answer is about to be delivered. */
+    /**
+     * Abandons the attempt unless it is established. One whose stream has already ended without an answer, with its end still
+     * queued for the engine, counts as abandoned: the owner drops that end, and nothing else would end its call.
+     *
+     * @return false if the attempt is established, so that its answer is about to be delivered
+     */
     boolean abandon() {
         cancelConnectTimer();
         path.removeWaiting(this);
-        if (!state.compareAndSet(State.PENDING, State.ABANDONED)) {
-            return false;
-        }
-        if (call != null) {
+        if (state.compareAndSet(State.PENDING, State.ABANDONED) && call != null) {
             call.cancel("attempt cancelled by the call controller", null);
         }
-        return true;
+        return state.get() != State.ESTABLISHED;
     }
 
     boolean isSent() {
--- a/grpc/src/main/java/pathlane/grpc/PluginCall.java
+++ b/grpc/src/main/java/pathlane/grpc/PluginCall.java
@@ -491,15 +491,10 @@
         if (finished) {
             return;
         }
-        if (established || answeredDuringCancel) {
-            if (establishedStream != null) {
-                establishedStream.cancel(status.getDescription(), status.getCause());
-            }
-            return;   // the stream reports the end
-        }
         if (currentAttempt != null && !currentAttempt.abandon()) {
-            establishedStream.cancel(status.getDescription(), status.getCause());
-            return;   // it has just been established
+            // It is established, though its stream's thread may not have set establishedStream yet.
+            currentAttempt.call().cancel(status.getDescription(), status.getCause());
+            return;   // the stream reports the end
         }
         if (currentAttempt != null) {
             long server = currentAttempt.path.server;
