Diameter: sessions from before a restart can be ended by their server and their client

After a kill and a start of the controller, a server's abort of a session from before was answered 5002 and its client never told; a client's termination was answered 5002 and never reached the server.

Cause: ServerPeer passed an abort on only if its own map had the initial request, and ClientPeer answered without the core's releaseUnknown. The core's way reached any client, and carried no content.

Change: unknownCallEnded passes the end to the client that the abort names (Destination-Host, else the host that begins the session id). releaseUnknown carries the client's content, to the server that it names or to all, at a limited rate beyond which the client is answered 3004. Updates go to the server that they name. What builds terminations moved to SessionTermination; one map has the receivers of forwarded answers.

--- a/core/src/main/java/pathlane/core/CallController.java
+++ b/core/src/main/java/pathlane/core/CallController.java
@@ -196,10 +196,15 @@
         return true;
     }
 
-    /** Releases an unknown call, which dates from before this process started, at every server. */
-    public void releaseUnknown(String id) {
-        if (!endedCalls.contains(id) && !calls.contains(id)) {
-            established.releaseAtAllServers(id);
+    /** Returns whether a call is not open, established or known to have ended: it may date from before this process. */
+    public boolean isUnknown(String id) {
+        return !endedCalls.contains(id) && !calls.contains(id);
+    }
+
+    /** Releases an unknown call, which dates from before this process started, at every server; the content is the client's. */
+    public void releaseUnknown(String id, byte[] content) {
+        if (isUnknown(id)) {
+            established.releaseAtAllServers(id, content);
         }
     }
 
@@ -244,10 +249,7 @@
     public void serverReleased(long serverId, String id, Outcome outcome, Duration retryAfter) {
         Optional<Call> known = calls.find(id);
         if (known.isEmpty()) {
-            CallEvent event = new CallEvent.Ended(id, outcome);
-            if (!endedCalls.contains(id) && !replication.delegate(event)) {
-                handleUnowned(event);
-            }
+            unknownCallEnded(id, outcome, ClientPort.UNKNOWN);
             return;
         }
         Call call = known.get();
@@ -262,6 +264,27 @@
         }
     }
 
+    /**
+     * Handles the end of an unknown call at its server, which dates from before this process started.
+     *
+     * @param client leads to the client that requested the call
+     * @return false if the call is known here, or known to have ended
+     */
+    public boolean unknownCallEnded(String id, Outcome outcome, ClientPort client) {
+        if (!isUnknown(id)) {
+            return false;
+        }
+        if (!replication.delegate(new CallEvent.Ended(id, outcome))) {
+            notifyOfUnknownCall(id, outcome, client);
+        }
+        return true;
+    }
+
+    private void notifyOfUnknownCall(String id, Outcome outcome, ClientPort client) {
+        counters.count(Name.RELEASED_UNKNOWN);
+        established.notifyClient(client, id, outcome);
+    }
+
     /** Handles a server's capacity report: its free slots and its total slots. */
     public void capacityReported(long serverId, double freeSlots, double slots) {
         LoadReport report = new LoadReport(freeSlots, slots, Double.NaN, Double.NaN, Double.NaN, Double.NaN);
@@ -293,10 +316,9 @@
     /** Handles an event of a call that no controller owns, which dates from before this process started. */
     public void handleUnowned(CallEvent event) {
         if (event instanceof CallEvent.Ended ended) {
-            counters.count(Name.RELEASED_UNKNOWN);
-            established.notifyAnyClient(ended.callId(), ended.outcome());
-        } else {
-            releaseUnknown(event.callId());
+            notifyOfUnknownCall(ended.callId(), ended.outcome(), ClientPort.UNKNOWN);
+        } else if (event instanceof CallEvent.Released released) {
+            releaseUnknown(released.callId(), released.content());
         }
     }
 
--- a/core/src/main/java/pathlane/core/ClientPort.java
+++ b/core/src/main/java/pathlane/core/ClientPort.java
@@ -7,19 +7,7 @@
 public interface ClientPort {
 
     /** Placeholder for an unknown client, for which any connection may be used. Nothing is written to it. */
-    ClientPort UNKNOWN = new ClientPort() {
-        @Override
-        public void answer(String callId, byte[] description) {}
-
-        @Override
-        public void reject(String callId, Duration retryAfter) {}
-
-        @Override
-        public void fail(String callId) {}
-
-        @Override
-        public void release(String callId, Outcome outcome) {}
-    };
+    ClientPort UNKNOWN = new NamedClient("");
 
     /** Sends the final answer that the call is established; the description is the session server's, unchanged. */
     void answer(String callId, byte[] description);
--- a/core/src/main/java/pathlane/core/EstablishedCalls.java
+++ b/core/src/main/java/pathlane/core/EstablishedCalls.java
@@ -69,11 +69,6 @@
         }
     }
 
-    /** Notifies any connected client of the end of a call whose client is unknown. */
-    void notifyAnyClient(String id, Outcome outcome) {
-        notifyClient(ClientPort.UNKNOWN, id, outcome);
-    }
-
     /** Ends all calls that are established at a server, whose process no longer runs. */
     @Override
     public void serverRemoved(Server server) {
@@ -145,8 +140,8 @@
     }
 
     /** Releases a call at every listed server, since it is not known at which one it is established. */
-    void releaseAtAllServers(String id) {
+    void releaseAtAllServers(String id, byte[] content) {
         List<Server> listed = servers.all().stream().filter(server -> !server.isGone()).toList();
-        listed.forEach(server -> server.port().releaseUnknown(id));
+        listed.forEach(server -> server.port().releaseUnknown(id, content));
     }
 }
--- a/core/src/main/java/pathlane/core/ServerPort.java
+++ b/core/src/main/java/pathlane/core/ServerPort.java
@@ -21,9 +21,12 @@
     /** Releases a call that is established at the server; the content is the client's, empty if there is none. */
     void release(String callId, Outcome outcome, byte[] content);
 
-    /** Releases a call that is established at an unknown server, without opening a connection for it alone. */
-    default void releaseUnknown(String callId) {
-        release(callId, Outcome.COMPLETED, new byte[0]);
+    /**
+     * Releases a call that is established at an unknown server, without opening a connection for it alone. The content is the
+     * client's, empty if there is none; it may name another server, and nothing is sent then.
+     */
+    default void releaseUnknown(String callId, byte[] content) {
+        release(callId, Outcome.COMPLETED, content);
     }
 
     /** Forwards a message within an established call; returns false if it can't be sent now. */
--- a/daemon/src/main/java/pathlane/diameter/ClientPeer.java
+++ b/daemon/src/main/java/pathlane/diameter/ClientPeer.java
@@ -6,7 +6,9 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.function.Consumer;
+import java.util.function.Function;
 import java.util.random.RandomGenerator;
 import pathlane.config.file.DiameterConfig;
 import pathlane.core.CallController;
@@ -15,6 +17,7 @@
 import pathlane.core.CloseReason;
 import pathlane.core.Scheduler;
 import pathlane.decision.Outcome;
+import pathlane.transport.RateLimiter;
 
 /**
  * One connection from a Diameter client: an initial Credit-Control-Request is a call request, its answer the call's only
@@ -35,13 +38,24 @@
     private final Map<String, DiameterMessage> unansweredRequests = new HashMap<>();
     /** Unanswered update requests by end-to-end id. */
     private final Map<Integer, DiameterMessage> unansweredUpdates = new HashMap<>();
+    /** Limits the terminations that are sent to all server peers. */
+    private final RateLimiter unnamedServerLimiter;
+    private final Function<String, Optional<ServerPeer>> serverPeers;
     private final Consumer<ClientPeer> onClosed;
     private PeerSession session;
 
-    /** {@code onClosed} is called when the connection has closed. */
+    /**
+     * Creates a connection that has not opened yet.
+     *
+     * @param serverPeers finds a server peer by its host
+     * @param onClosed called when the connection has closed
+     */
     ClientPeer(CallController controller, DiameterConfig config, LocalNode local, Scheduler scheduler,
-            RandomGenerator random, Consumer<ClientPeer> onClosed) {
+            RandomGenerator random, Function<String, Optional<ServerPeer>> serverPeers, Consumer<ClientPeer> onClosed) {
+        this.serverPeers = serverPeers;
         this.onClosed = onClosed;
+        this.unnamedServerLimiter = new RateLimiter(config.clientLimits().unknownReleaseBurst(),
+                config.clientLimits().unknownReleaseInterval(), scheduler);
         this.controller = controller;
         this.config = config;
         this.local = local;
@@ -81,11 +95,7 @@
         switch (type.number()) {
             case INITIAL -> submit(call, request);
             case UPDATE -> forwardUpdate(call, request);
-            case TERMINATION -> {
-                boolean isKnown = controller.clientReleased(call, forwarded(request).bytes(), this);
-                from.send(answer(request, isKnown ? ResultCode.SUCCESS : ResultCode.UNKNOWN_SESSION_ID,
-                        Duration.ZERO));
-            }
+            case TERMINATION -> from.send(answer(request, terminate(call, request), Duration.ZERO));
             default -> throw new DiameterException(ResultCode.INVALID_AVP_VALUE, type, "request type " + type.number());
         }
     }
@@ -114,15 +124,49 @@
         session.send(answer(request, ResultCode.UNABLE_TO_COMPLY, Duration.ZERO));
     }
 
-    /** Forwards an update to the server of the established session; an error answer tells the client if that fails. */
+    /**
+     * Terminates a session and returns the result for its client. One from before this process started is terminated at the
+     * server that the client names, else at all servers, which a client could use to load them: then the rate is limited.
+     */
+    private int terminate(String call, DiameterMessage request) {
+        if (controller.clientReleased(call, forwarded(request).bytes(), this)) {
+            return ResultCode.SUCCESS;
+        }
+        if (!controller.isUnknown(call)) {
+            return ResultCode.UNKNOWN_SESSION_ID;   // it has ended, or it is another client's
+        }
+        DiameterMessage termination = forwarded(request);
+        if (namedServer(request).isEmpty()) {
+            if (!unnamedServerLimiter.tryAcquire()) {
+                return ResultCode.TOO_BUSY;
+            }
+            termination = termination.without(Avp.DESTINATION_HOST);
+        }
+        controller.releaseUnknown(call, termination.bytes());
+        return ResultCode.SUCCESS;
+    }
+
+    /** The server peer that a client's request names; sessions from before this process started are found by it. */
+    private Optional<ServerPeer> namedServer(DiameterMessage request) {
+        return Optional.ofNullable(request.find(Avp.DESTINATION_HOST)).flatMap(host -> serverPeers.apply(host.text()));
+    }
+
+    /**
+     * Forwards an update to the server of the established session, or of one from before this process started; an error answer
+     * tells the client if that fails.
+     */
     private void forwardUpdate(String call, DiameterMessage request) {
-        if (!controller.isEstablished(call)) {
+        Optional<ServerPeer> earlierServer = controller.isUnknown(call) ? namedServer(request) : Optional.empty();
+        if (!controller.isEstablished(call) && earlierServer.isEmpty()) {
             session.send(answer(request, ResultCode.UNKNOWN_SESSION_ID, Duration.ZERO));
             return;
         }
         int id = request.endToEnd();
         unansweredUpdates.put(id, request);
-        if (controller.forwardToServer(call, forwarded(request).bytes())) {
+        boolean isForwarded = earlierServer.isPresent()
+                ? earlierServer.get().forward(forwarded(request), answer -> forwardReply(call, answer.bytes()))
+                : controller.forwardToServer(call, forwarded(request).bytes());
+        if (isForwarded) {
             scheduler.after(serviceOf(request).timeout(), () -> rejectUndelivered(id, request));
         } else {
             rejectUndelivered(id, request);
--- a/daemon/src/main/java/pathlane/diameter/DiameterFront.java
+++ b/daemon/src/main/java/pathlane/diameter/DiameterFront.java
@@ -5,6 +5,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.random.RandomGenerator;
 import pathlane.config.file.DiameterConfig;
 import pathlane.core.CallController;
@@ -59,11 +60,17 @@
 
     /** The state machine for a connection that a client has opened. */
     public Protocol accept() {
-        ClientPeer client = new ClientPeer(controller, config, local, scheduler, random, clients::remove);
+        ClientPeer client = new ClientPeer(controller, config, local, scheduler, random, this::serverPeer,
+                clients::remove);
         clients.add(client);
         return new PeerSession(false, local, scheduler, random, client);
     }
 
+    private Optional<ServerPeer> serverPeer(String host) {
+        return config.peers().stream().filter(peer -> peer.host().equals(host)).findFirst()
+                .map(peer -> servers.get(peer.id()));
+    }
+
     /** Disconnects from all peers gracefully. */
     public void disconnect() {
         List.copyOf(clients).forEach(ClientPeer::disconnect);
--- a/daemon/src/main/java/pathlane/diameter/DiameterMessage.java
+++ b/daemon/src/main/java/pathlane/diameter/DiameterMessage.java
@@ -82,6 +82,11 @@
         return new DiameterMessage(newFlags, command, application, newHopByHop, endToEnd, newAvps);
     }
 
+    /** This message without any AVP of this code. */
+    DiameterMessage without(int code) {
+        return withHop(hopByHop, flags, avps.stream().filter(avp -> avp.code() != code).toList());
+    }
+
     /** An answer to this request, with these AVPs after the session id, the result code and the origin. */
     DiameterMessage answer(int resultCode, LocalNode local, List<Avp> additionalAvps) {
         List<Avp> answerAvps = new ArrayList<>();
--- a/daemon/src/main/java/pathlane/diameter/ServerPeer.java
+++ b/daemon/src/main/java/pathlane/diameter/ServerPeer.java
@@ -1,6 +1,5 @@
 package pathlane.diameter;
 
-import java.io.ByteArrayOutputStream;
 import java.lang.System.Logger;
 import java.lang.System.Logger.Level;
 import java.nio.ByteBuffer;
@@ -19,7 +18,9 @@
 import pathlane.config.file.DiameterConfig;
 import pathlane.core.CallController;
 import pathlane.core.CallRequest;
+import pathlane.core.ClientPort;
 import pathlane.core.CloseReason;
+import pathlane.core.NamedClient;
 import pathlane.core.Scheduler;
 import pathlane.core.ServerPort;
 import pathlane.decision.Outcome;
@@ -38,12 +39,7 @@
     private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(2);
     /** How long to wait for the late answer to a cancelled request before its session is terminated without one. */
     private static final Duration MAX_LATE_ANSWER_WAIT = Duration.ofSeconds(60);
-    private static final int TERMINATION = 3;
-    private static final int ADMINISTRATIVE = 4;
-    /** AVPs that a termination request copies from the initial request, besides the session id. */
-    private static final int[] RELEASE_TOKEN_AVPS =
-            {Avp.ORIGIN_HOST, Avp.ORIGIN_REALM, Avp.DESTINATION_REALM, Avp.SERVICE_CONTEXT_ID,
-                    Avp.CC_REQUEST_NUMBER};
+    private static final String SESSION_ID_SEPARATOR = ";";
     /** Maximum number of termination requests that wait for a connection. */
     private static final int MAX_WAITING_TERMINATIONS = 10_000;
 
@@ -62,8 +58,8 @@
     private final Map<String, DiameterMessage> waitingTerminations = new LinkedHashMap<>();
     /** Hop-by-hop ids of unanswered initial requests that were cancelled. */
     private final Set<Integer> cancelledIds = new HashSet<>();
-    /** Calls of forwarded and unanswered update requests by hop-by-hop id. */
-    private final Map<Integer, String> unansweredUpdates = new HashMap<>();
+    /** Receivers of the answers to forwarded update requests by hop-by-hop id. */
+    private final Map<Integer, Consumer<DiameterMessage>> unansweredUpdates = new HashMap<>();
     private final PeerRecovery recovery;
     private PeerSession session;
 
@@ -120,23 +116,51 @@
 
     @Override
     public boolean forward(String call, byte[] content) {
-        boolean open = session != null && session.isOpen();
-        if (open) {
-            int id = forwardRequest(DiameterMessage.read(ByteBuffer.wrap(content)));
-            unansweredUpdates.put(id, call);
-            scheduler.after(MAX_LATE_ANSWER_WAIT, () -> unansweredUpdates.remove(id, call));   // in case of no answer
+        return forward(DiameterMessage.read(ByteBuffer.wrap(content)),
+                answer -> controller.get().forwardToClient(config.id(), call, answer.bytes()));
+    }
+
+    /**
+     * Forwards a client's message within a session.
+     *
+     * @param onAnswer receives the server's answer, if it arrives in time
+     * @return false if it can't be sent now
+     */
+    boolean forward(DiameterMessage request, Consumer<DiameterMessage> onAnswer) {
+        boolean isOpen = session != null && session.isOpen();
+        if (isOpen) {
+            int id = forwardRequest(request);
+            unansweredUpdates.put(id, onAnswer);
+            scheduler.after(MAX_LATE_ANSWER_WAIT, () -> unansweredUpdates.remove(id, onAnswer));   // in case of no answer
         }
-        return open;
+        return isOpen;
     }
 
     @Override
     public void release(String call, Outcome outcome, byte[] content) {
         DiameterMessage initialRequest = initialRequests.remove(call);
-        DiameterMessage termination = content.length > 0 ? DiameterMessage.read(ByteBuffer.wrap(content))
-                : initialRequest == null ? null : termination(initialRequest);
-        if (termination == null) {
-            return;
+        if (content.length > 0) {
+            terminate(call, DiameterMessage.read(ByteBuffer.wrap(content)));
+        } else if (initialRequest != null) {
+            terminate(call, termination(initialRequest));
         }
+    }
+
+    /** Terminates a session from before this process started, unless its client names another server. */
+    @Override
+    public void releaseUnknown(String call, byte[] content) {
+        if (content.length == 0) {
+            return;   // a termination can't be made without what the client knows of its session
+        }
+        DiameterMessage termination = DiameterMessage.read(ByteBuffer.wrap(content));
+        Avp destinationHost = termination.find(Avp.DESTINATION_HOST);
+        if (destinationHost == null || destinationHost.text().equals(config.host())) {
+            terminate(call, termination);
+        }
+    }
+
+    /** Sends a termination request now, or on the next connection. */
+    private void terminate(String call, DiameterMessage termination) {
         if (session != null && session.isOpen()) {
             forwardRequest(termination);
         } else if (waitingTerminations.size() < MAX_WAITING_TERMINATIONS) {
@@ -146,32 +170,17 @@
 
     @Override
     public Optional<byte[]> pendingReleaseToken(String call) {
-        return Optional.ofNullable(waitingTerminations.get(call)).map(ServerPeer::releaseToken);
+        return Optional.ofNullable(waitingTerminations.get(call)).map(SessionTermination::releaseToken);
     }
 
     @Override
     public byte[] releaseToken(CallRequest callRequest) {
-        return releaseToken(DiameterMessage.read(ByteBuffer.wrap(callRequest.payload())));
-    }
-
-    private static byte[] releaseToken(DiameterMessage request) {
-        ByteArrayOutputStream out = new ByteArrayOutputStream();
-        for (int code : RELEASE_TOKEN_AVPS) {
-            out.writeBytes(request.require(code).bytes());
-        }
-        return out.toByteArray();
+        return SessionTermination.releaseToken(DiameterMessage.read(ByteBuffer.wrap(callRequest.payload())));
     }
 
-    /** Rebuilds as much of the initial request, sent by another controller, as is needed to terminate the session. */
     @Override
     public void adopt(String call, byte[] releaseToken) {
-        List<Avp> avps = new ArrayList<>(List.of(Avp.of(Avp.SESSION_ID, call),
-                Avp.of(Avp.AUTH_APPLICATION_ID, DiameterMessage.CREDIT_CONTROL_APPLICATION)));
-        for (ByteBuffer remaining = ByteBuffer.wrap(releaseToken); remaining.hasRemaining();) {
-            avps.add(Avp.read(remaining));
-        }
-        initialRequests.putIfAbsent(call, new DiameterMessage(DiameterMessage.REQUEST | DiameterMessage.PROXIABLE,
-                DiameterMessage.CREDIT_CONTROL, DiameterMessage.CREDIT_CONTROL_APPLICATION, 0, 0, avps));
+        initialRequests.putIfAbsent(call, SessionTermination.initialRequest(call, releaseToken));
     }
 
     /** Sends a request of a session at this peer; returns its hop-by-hop id. */
@@ -186,19 +195,8 @@
         return session.sendRequest(request, flags, avps);
     }
 
-    /** The termination request for the session that this initial request opened. */
     private DiameterMessage termination(DiameterMessage initialRequest) {
-        List<Avp> avps = new ArrayList<>();
-        for (int code : new int[] {Avp.SESSION_ID, Avp.ORIGIN_HOST, Avp.ORIGIN_REALM, Avp.DESTINATION_REALM,
-                Avp.AUTH_APPLICATION_ID, Avp.SERVICE_CONTEXT_ID}) {
-            avps.add(initialRequest.require(code));
-        }
-        avps.add(Avp.of(Avp.CC_REQUEST_TYPE, TERMINATION));
-        avps.add(Avp.of(Avp.CC_REQUEST_NUMBER, initialRequest.require(Avp.CC_REQUEST_NUMBER).number() + 1));
-        avps.add(Avp.of(Avp.TERMINATION_CAUSE, ADMINISTRATIVE));
-        int endToEnd = PeerSession.newEndToEnd(scheduler, random);
-        return new DiameterMessage(DiameterMessage.REQUEST | DiameterMessage.PROXIABLE,
-                DiameterMessage.CREDIT_CONTROL, DiameterMessage.CREDIT_CONTROL_APPLICATION, 0, endToEnd, avps);
+        return SessionTermination.of(initialRequest, PeerSession.newEndToEnd(scheduler, random));
     }
 
     @Override
@@ -263,20 +261,32 @@
         }
         String call = request.require(Avp.SESSION_ID).text();
         boolean isKnown = initialRequests.remove(call) != null;
-        from.send(request.answer(isKnown ? ResultCode.SUCCESS : ResultCode.UNKNOWN_SESSION_ID, local, List.of()));
+        boolean isAccepted =
+                isKnown || controller.get().unknownCallEnded(call, Outcome.RESET, clientOf(call, request));
+        from.send(request.answer(isAccepted ? ResultCode.SUCCESS : ResultCode.UNKNOWN_SESSION_ID, local, List.of()));
         if (isKnown) {
             controller.get().serverReleased(config.id(), call, Outcome.RESET, Duration.ZERO);
         }
     }
 
+    /**
+     * The client of a session from before this process started: the one that the server names or, as the id of a session begins
+     * with its client (RFC 6733, section 8.8), the one that the id names.
+     */
+    private ClientPort clientOf(String call, DiameterMessage abort) {
+        Avp destinationHost = abort.find(Avp.DESTINATION_HOST);
+        boolean namesClient = destinationHost != null && !destinationHost.text().equals(local.host());
+        return new NamedClient(namesClient ? destinationHost.text() : call.split(SESSION_ID_SEPARATOR, 2)[0]);
+    }
+
     @Override
     public void answer(PeerSession from, DiameterMessage answer) {
         String call = unansweredCalls.remove(answer.hopByHop());
         boolean isCancelled = cancelledIds.remove(answer.hopByHop());
         if (call == null) {
-            String updatedCall = unansweredUpdates.remove(answer.hopByHop());
-            if (updatedCall != null) {
-                controller.get().forwardToClient(config.id(), updatedCall, answer.bytes());
+            Consumer<DiameterMessage> receiver = unansweredUpdates.remove(answer.hopByHop());
+            if (receiver != null) {
+                receiver.accept(answer);
             }
             return;   // otherwise the answer to a termination request or to an unknown one
         }
--- a/daemon/src/main/java/pathlane/platform/ClientSession.java
+++ b/daemon/src/main/java/pathlane/platform/ClientSession.java
@@ -130,7 +130,7 @@
     /** The call may have become known while its release waited in the queue. */
     private void releaseUnknown(String callId) {
         if (!controller.clientReleased(callId, EMPTY, this)) {
-            controller.releaseUnknown(callId);
+            controller.releaseUnknown(callId, EMPTY);
         }
     }
 
--- a/daemon/src/main/java/pathlane/platform/ServerLink.java
+++ b/daemon/src/main/java/pathlane/platform/ServerLink.java
@@ -128,7 +128,7 @@
      * one of them had established before. The release waits for the next connection; the number of such releases is limited.
      */
     @Override
-    public void releaseUnknown(String callId) {
+    public void releaseUnknown(String callId, byte[] content) {
         if (pool.leastBusy() != null) {
             release(callId, Outcome.COMPLETED, EMPTY);
         } else if (!pool.isClosed()) {
