--- a/core/src/main/java/pathlane/core/CallController.java
+++ b/core/src/main/java/pathlane/core/CallController.java
@@ -201,7 +201,7 @@
         return !endedCalls.contains(id) && !calls.contains(id);
     }
 
-    /** Releases an unknown call, which dates from before this process started, at every server; the content is the client's. */
+    /** Releases an unknown call, which dates from before this process, at every server; the content is the client's. */
     public void releaseUnknown(String id, byte[] content) {
         if (isUnknown(id)) {
             established.releaseAtAllServers(id, content);
@@ -265,9 +265,8 @@
     }
 
     /**
-     * Handles the end of an unknown call at its server, which dates from before this process started.
+     * Handles the end of an unknown call, which dates from before this process started, at its server.
      *
-     * @param client leads to the client that requested the call
      * @return false if the call is known here, or known to have ended
      */
     public boolean unknownCallEnded(String id, Outcome outcome, ClientPort client) {
--- a/core/src/main/java/pathlane/core/PortGuard.java
+++ b/core/src/main/java/pathlane/core/PortGuard.java
@@ -8,8 +8,8 @@
 
 /**
  * Runs actions on the ports of clients and servers so that an unexpected exception affects only the call that the action is
- * for. Without it, the exception would pass through the policy, which loses the waiting calls that it has yet to look at, and
- * end the connection whose input happened to cause the decision. Runs on the event loop's thread.
+ * for. Otherwise it would pass through the policy, which loses the waiting calls that it has yet to look at, and end the
+ * connection whose input happened to cause the decision. Runs on the event loop's thread.
  */
 final class PortGuard {
 
--- a/core/src/main/java/pathlane/core/ServerPort.java
+++ b/core/src/main/java/pathlane/core/ServerPort.java
@@ -22,8 +22,8 @@
     void release(String callId, Outcome outcome, byte[] content);
 
     /**
-     * Releases a call that is established at an unknown server, without opening a connection for it alone. The content is the
-     * client's, empty if there is none; it may name another server, and nothing is sent then.
+     * Releases a call that is established at an unknown server, without opening a connection for it alone. The content is
+     * the client's, empty if there is none; nothing is sent if it names another server.
      */
     default void releaseUnknown(String callId, byte[] content) {
         release(callId, Outcome.COMPLETED, content);
--- a/core/src/main/java/pathlane/transport/ReconnectBackoff.java
+++ b/core/src/main/java/pathlane/transport/ReconnectBackoff.java
@@ -15,6 +15,7 @@
     private final RandomGenerator random;
     private Duration delay = MIN_DELAY;
 
+    /** Creates a backoff whose next delay is the shortest; {@code random} is the source of the jitter. */
     public ReconnectBackoff(RandomGenerator random) {
         this.random = random;
     }
--- a/core/src/test/java/pathlane/core/UnsendableRequestTest.java
+++ b/core/src/test/java/pathlane/core/UnsendableRequestTest.java
@@ -14,8 +14,8 @@
 import pathlane.decision.ServerStatus;
 
 /**
- * A request whose sending throws an unexpected exception must end its own call alone. The exception passed through the policy
- * once: it ended whichever connection had caused the decision, and calls that waited were left out of all later decisions.
+ * A request whose sending throws an unexpected exception must end its own call alone. The exception once passed through the
+ * policy: it ended whichever connection had caused the decision, and waiting calls were left out of all later decisions.
  */
 class UnsendableRequestTest {
 
--- a/daemon/src/main/java/pathlane/diameter/ClientPeer.java
+++ b/daemon/src/main/java/pathlane/diameter/ClientPeer.java
@@ -152,8 +152,8 @@
     }
 
     /**
-     * Forwards an update to the server of the established session, or of one from before this process started; an error answer
-     * tells the client if that fails.
+     * Forwards an update to the server of the established session, or of one from before this process started. An error
+     * answer tells the client if that fails.
      */
     private void forwardUpdate(String call, DiameterMessage request) {
         Optional<ServerPeer> earlierServer = controller.isUnknown(call) ? namedServer(request) : Optional.empty();
--- a/daemon/src/main/java/pathlane/diameter/PeerRecovery.java
+++ b/daemon/src/main/java/pathlane/diameter/PeerRecovery.java
@@ -12,8 +12,8 @@
 import pathlane.transport.ReconnectBackoff;
 
 /**
- * What follows the loss of the connection to a server peer: reconnects sooner than the watchdog does while sessions depend on
- * it, and detects that the peer has lost its sessions or is gone with them. On the loop's thread.
+ * What follows the loss of the connection to a server peer: reconnects sooner than the watchdog does while sessions depend
+ * on it, and detects that the peer has lost its sessions or is gone with them. On the loop's thread.
  */
 final class PeerRecovery {
 
@@ -71,9 +71,9 @@
     }
 
     /**
-     * Reconnects soon, although the watchdog does so at its next interval, which may take 30 s: sessions are established at the
-     * peer or are to be terminated there, and their clients must be notified within 8 s if the peer is gone. A peer that has
-     * announced the disconnect is left to the watchdog (RFC 6733, section 5.4.3).
+     * Reconnects soon, although the watchdog does so at its next interval, which may take 30 s: sessions are established at
+     * the peer or are to be terminated there, and their clients must be notified within 8 s if the peer is gone. A peer that
+     * has announced the disconnect is left to the watchdog (RFC 6733, section 5.4.3).
      */
     void reconnectSoon() {
         if (!isStopped && !hasAnnouncedDisconnect && reconnectTimer == null) {
--- a/daemon/src/main/java/pathlane/diameter/ServerPeer.java
+++ b/daemon/src/main/java/pathlane/diameter/ServerPeer.java
@@ -270,8 +270,8 @@
     }
 
     /**
-     * The client of a session from before this process started: the one that the server names or, as the id of a session begins
-     * with its client (RFC 6733, section 8.8), the one that the id names.
+     * The client of a session from before this process started: the one that the server names, else the one with which the
+     * session id begins (RFC 6733, section 8.8).
      */
     private ClientPort clientOf(String call, DiameterMessage abort) {
         Avp destinationHost = abort.find(Avp.DESTINATION_HOST);
--- a/daemon/src/main/java/pathlane/diameter/SessionTermination.java
+++ b/daemon/src/main/java/pathlane/diameter/SessionTermination.java
@@ -5,7 +5,7 @@
 import java.util.ArrayList;
 import java.util.List;
 
-/** Builds the request that terminates a session at its server, from the request that opened it or from what was kept of that. */
+/** Builds the request that terminates a session at its server from the initial request, or from what was kept of that. */
 final class SessionTermination {
 
     private static final int TERMINATION = 3;
--- a/daemon/src/test/java/pathlane/exchange/UnknownTerminationsTest.java
+++ b/daemon/src/test/java/pathlane/exchange/UnknownTerminationsTest.java
@@ -8,8 +8,8 @@
 import org.junit.jupiter.api.Test;
 
 /**
- * A Diameter client terminates many sessions from before the program's start without naming their server, so that each request
- * goes to every server peer: beyond the rate limit it gets an answer that invites it to try again, and nothing is lost silently.
+ * A Diameter client terminates many sessions from before the program's start without naming their server, so that each
+ * request goes to every server peer: beyond the rate limit it is answered as too busy, and nothing is lost silently.
  */
 class UnknownTerminationsTest {
 
--- a/grpc/src/main/java/pathlane/grpc/Attempt.java
+++ b/grpc/src/main/java/pathlane/grpc/Attempt.java
@@ -106,8 +106,8 @@
     }
 
     /**
-     * Abandons the attempt unless it is established. One whose stream has already ended without an answer, with its end still
-     * queued for the engine, counts as abandoned: the owner drops that end, and nothing else would end its call.
+     * Abandons the attempt unless it is established. One whose stream has already ended without an answer, with its end
+     * still queued for the engine, counts as abandoned: the owner drops that end, and nothing else would end its call.
      *
      * @return false if the attempt is established, so that its answer is about to be delivered
      */
