Diameter: the answer to an update goes to the connection from which it came

After a client's connection was reset and opened again, its updates were applied by the server and answered 2001, and the client got 3002 once its answer time had ended.

Cause: the reply went to the port on which the call had been requested, whose list of unanswered updates was cleared when that connection ended. Whose session it was had not been checked either.

Change: the port from which a message comes goes with it, and the reply returns there. An update by another client is answered 5002 and reaches no server.

--- a/core/src/main/java/pathlane/core/CallController.java
+++ b/core/src/main/java/pathlane/core/CallController.java
@@ -213,17 +213,23 @@
         return calls.findEstablished(id).isPresent();
     }
 
-    /** Forwards a client's message to the server of an established call; returns false if that is not possible now. */
-    public boolean forwardToServer(String id, byte[] content) {
+    /** Returns whether a call is established and was requested by the client behind this port. */
+    public boolean isEstablishedFor(String id, ClientPort client) {
+        return calls.findEstablished(id).filter(call -> client.isSameClient(call.client())).isPresent();
+    }
+
+    /** Forwards a message from any connection of the call's client to its server; returns false if that can't be done now. */
+    public boolean forwardToServer(String id, byte[] content, ClientPort from) {
         Optional<Server> server = calls.findEstablished(id).flatMap(Call::server);
-        return server.isPresent() && replication.mayAct(id) && server.get().port().forward(id, content);
+        return server.isPresent() && isEstablishedFor(id, from) && replication.mayAct(id)
+                && server.get().port().forward(id, content, from);
     }
 
-    /** Forwards a server's reply to a message that was forwarded to it. */
-    public void forwardToClient(long serverId, String id, byte[] content) {
+    /** Forwards a server's reply to the connection from which the message came. */
+    public void forwardToClient(long serverId, String id, byte[] content, ClientPort to) {
         Optional<Server> server = servers.find(serverId);
         calls.findEstablished(id).filter(call -> server.isPresent() && call.isAt(server.get()) && replication.mayAct(id))
-                .ifPresent(call -> call.client().forwardReply(id, content));
+                .ifPresent(call -> to.forwardReply(id, content));
     }
 
     // ---- from session servers
@@ -270,18 +276,11 @@
      * @return false if the call is known here, or known to have ended
      */
     public boolean unknownCallEnded(String id, Outcome outcome, ClientPort client) {
-        if (!isUnknown(id)) {
-            return false;
-        }
-        if (!replication.delegate(new CallEvent.Ended(id, outcome))) {
-            notifyOfUnknownCall(id, outcome, client);
+        boolean isUnknown = isUnknown(id);
+        if (isUnknown && !replication.delegate(new CallEvent.Ended(id, outcome))) {
+            established.unknownCallEnded(client, id, outcome);
         }
-        return true;
-    }
-
-    private void notifyOfUnknownCall(String id, Outcome outcome, ClientPort client) {
-        counters.count(Name.RELEASED_UNKNOWN);
-        established.notifyClient(client, id, outcome);
+        return isUnknown;
     }
 
     /** Handles a server's capacity report: its free slots and its total slots. */
@@ -315,7 +314,7 @@
     /** Handles an event of a call that no controller owns, which dates from before this process started. */
     public void handleUnowned(CallEvent event) {
         if (event instanceof CallEvent.Ended ended) {
-            notifyOfUnknownCall(ended.callId(), ended.outcome(), ClientPort.UNKNOWN);
+            established.unknownCallEnded(ClientPort.UNKNOWN, ended.callId(), ended.outcome());
         } else if (event instanceof CallEvent.Released released) {
             releaseUnknown(released.callId(), released.content());
         }
--- a/core/src/main/java/pathlane/core/EstablishedCalls.java
+++ b/core/src/main/java/pathlane/core/EstablishedCalls.java
@@ -69,6 +69,12 @@
         }
     }
 
+    /** Notifies a client of the end of a call that was established before this process started. */
+    void unknownCallEnded(ClientPort client, String id, Outcome outcome) {
+        context.counters().count(Name.RELEASED_UNKNOWN);
+        notifyClient(client, id, outcome);
+    }
+
     /** Ends all calls that are established at a server, whose process no longer runs. */
     @Override
     public void serverRemoved(Server server) {
--- a/core/src/main/java/pathlane/core/ServerPort.java
+++ b/core/src/main/java/pathlane/core/ServerPort.java
@@ -29,8 +29,8 @@
         release(callId, Outcome.COMPLETED, content);
     }
 
-    /** Forwards a message within an established call; returns false if it can't be sent now. */
-    default boolean forward(String callId, byte[] content) {
+    /** Forwards a client's message within an established call, and the reply to it; returns false if it can't be sent now. */
+    default boolean forward(String callId, byte[] content, ClientPort from) {
         return false;
     }
 
--- a/daemon/src/main/java/pathlane/diameter/ClientPeer.java
+++ b/daemon/src/main/java/pathlane/diameter/ClientPeer.java
@@ -157,7 +157,7 @@
      */
     private void forwardUpdate(String call, DiameterMessage request) {
         Optional<ServerPeer> earlierServer = controller.isUnknown(call) ? namedServer(request) : Optional.empty();
-        if (!controller.isEstablished(call) && earlierServer.isEmpty()) {
+        if (!controller.isEstablishedFor(call, this) && earlierServer.isEmpty()) {
             session.send(answer(request, ResultCode.UNKNOWN_SESSION_ID, Duration.ZERO));
             return;
         }
@@ -165,7 +165,7 @@
         unansweredUpdates.put(id, request);
         boolean isForwarded = earlierServer.isPresent()
                 ? earlierServer.get().forward(forwarded(request), answer -> forwardReply(call, answer.bytes()))
-                : controller.forwardToServer(call, forwarded(request).bytes());
+                : controller.forwardToServer(call, forwarded(request).bytes(), this);
         if (isForwarded) {
             scheduler.after(serviceOf(request).timeout(), () -> rejectUndelivered(id, request));
         } else {
--- a/daemon/src/main/java/pathlane/diameter/ServerPeer.java
+++ b/daemon/src/main/java/pathlane/diameter/ServerPeer.java
@@ -115,9 +115,9 @@
     }
 
     @Override
-    public boolean forward(String call, byte[] content) {
+    public boolean forward(String call, byte[] content, ClientPort from) {
         return forward(DiameterMessage.read(ByteBuffer.wrap(content)),
-                answer -> controller.get().forwardToClient(config.id(), call, answer.bytes()));
+                answer -> controller.get().forwardToClient(config.id(), call, answer.bytes(), from));
     }
 
     /**
