Diameter: a repeated request whose answer was lost gets that answer again

A client whose connection was lost with the answer in it repeated its request with the T flag and was answered 5012; the session stayed established at its server for good.

Cause: a repeated request took over a call that was open, or established while its client was away. A call that was established while the connection still seemed to be up was taken for a foreign one.

Change: the answer is held until the deadline for clients that repeat requests, and sent again to the same request of the same client. An answer that was never sent is held likewise, and the session terminated at the deadline if nobody comes; an abort that was never sent goes out on the next connection. The harness names unsent messages.

--- a/core/src/main/java/pathlane/core/AttemptManager.java
+++ b/core/src/main/java/pathlane/core/AttemptManager.java
@@ -109,13 +109,25 @@
         CallTrace.step(id, "established at {0} after {1} ms", server.id(), elapsed);
         context.calls().established(call, server, now);
         context.replication().callEstablished(id, server.id(), call.client());
-        context.replication().deliverAnswer(id, call.request().callClass(),
-                () -> context.portGuard().run(id, () -> call.client().answer(id, description)));
+        context.replication().deliverAnswer(id, call.request().callClass(), () -> deliverAnswer(call, description));
         int attempt = call.lastAttempt();
         double elapsedMs = Millis.of(elapsed);
         context.policyEvents().post(at -> call.service().policy().callEstablished(at, id, attempt, server.id(), elapsedMs));
     }
 
+    /**
+     * Sends the answer to the client. It is held until the deadline for a client that repeats its unanswered requests:
+     * whether the client has read it when its connection ends can't be known.
+     */
+    private void deliverAnswer(Call call, byte[] description) {
+        if (call.client().repeatsRequests()) {
+            call.holdAnswer(description);
+            Duration remaining = Duration.between(context.scheduler().now(), call.deadline());
+            context.scheduler().after(remaining.isNegative() ? Duration.ZERO : remaining, call::dropHeldAnswer);
+        }
+        context.portGuard().run(call.id(), () -> call.client().answer(call.id(), description));
+    }
+
     /** Notifies the policy how the attempt, or the established call, ended; the call may then start another attempt. */
     void end(Call call, Outcome outcome, boolean isCallClosed) {
         end(call, outcome, isCallClosed, Duration.ZERO);
--- a/core/src/main/java/pathlane/core/Call.java
+++ b/core/src/main/java/pathlane/core/Call.java
@@ -37,6 +37,7 @@
     private int attempts;
     private Instant notBefore = Instant.MIN;
     private boolean mayHaveRun;
+    private Optional<byte[]> heldAnswer = Optional.empty();
 
     private Call(Service service, CallRequest request, Instant deadline, ClientPort client, State state) {
         this.service = service;
@@ -104,6 +105,16 @@
         client = newClient;
     }
 
+    /** Keeps the answer that was sent, in case that the client has not read it and repeats its request. */
+    void holdAnswer(byte[] answer) {
+        heldAnswer = Optional.of(answer);
+    }
+
+    /** Drops the held answer: the client does not wait for it any more. */
+    void dropHeldAnswer() {
+        heldAnswer = Optional.empty();
+    }
+
     void setDeadlineTimer(Scheduler.Timer timer) {
         deadlineTimer = Optional.of(timer);
     }
@@ -135,6 +146,10 @@
         return client;
     }
 
+    Optional<byte[]> heldAnswer() {
+        return heldAnswer;
+    }
+
     /** Returns whether the answer can be sent; if not, the client may come back for it. */
     boolean isClientConnected() {
         return !(client instanceof ClientFailover.DisconnectedClient);
--- a/core/src/main/java/pathlane/core/CallController.java
+++ b/core/src/main/java/pathlane/core/CallController.java
@@ -130,6 +130,11 @@
         }
     }
 
+    /** Handles an answer that was not sent before the client's connection ended: the client may repeat its request. */
+    public void answerUnsent(String id, ClientPort client) {
+        calls.findEstablished(id).filter(call -> call.client() == client).ifPresent(failover::connectionLost);
+    }
+
     /** Returns the number of calls on a client's connection that wait for their final answer. */
     public int openCallsOn(ClientPort client) {
         return clients.usage(client).open;
@@ -218,7 +223,7 @@
         return calls.findEstablished(id).filter(call -> client.isSameClient(call.client())).isPresent();
     }
 
-    /** Forwards a message from any connection of the call's client to its server; returns false if that can't be done now. */
+    /** Forwards a message from a connection of the call's client to its server; returns false if that can't be done now. */
     public boolean forwardToServer(String id, byte[] content, ClientPort from) {
         Optional<Server> server = calls.findEstablished(id).flatMap(Call::server);
         return server.isPresent() && isEstablishedFor(id, from) && replication.mayAct(id)
@@ -322,13 +327,7 @@
 
     /** Handles an event of a call that this controller owns, delivered late or through another controller. */
     public void handleOwned(CallEvent event) {
-        calls.findEstablished(event.callId()).ifPresent(call -> {
-            if (event instanceof CallEvent.Released released) {
-                established.release(call, released.content());
-            } else if (event instanceof CallEvent.Ended ended) {
-                established.end(call, ended.outcome());
-            }
-        });
+        calls.findEstablished(event.callId()).ifPresent(call -> established.handle(call, event));
     }
 
     /**
--- a/core/src/main/java/pathlane/core/ClientFailover.java
+++ b/core/src/main/java/pathlane/core/ClientFailover.java
@@ -6,29 +6,27 @@
 import pathlane.decision.Outcome;
 
 /**
- * Keeps a call whose client lost its connection while an attempt was in flight, for clients that then send their unanswered
- * requests again over another connection (RFC 6733, section 5.5.4). The attempt can't be taken back, so a further one for
- * the same request would be outstanding beside it: the repeated request takes over the call and its attempt. The call ends
- * if the attempt fails, or if the client does not repeat the request before the deadline. Runs on the event loop's thread.
+ * Keeps calls for clients that send their unanswered requests again over another connection when one is lost (RFC 6733,
+ * section 5.5.4). An attempt in flight can't be taken back, so a further one for the same request would be outstanding
+ * beside it: the repeated request takes over the call and its attempt. The call ends if the attempt fails, or if the client
+ * does not repeat the request before the deadline. A repeated request whose call is established gets the same answer again,
+ * since the client can't have read it. Runs on the event loop's thread.
  */
 final class ClientFailover {
 
     private static final byte[] NO_CONTENT = {};
 
-    /** Stands for the client until it repeats its request: holds the answer and drops everything else. */
+    /** Stands for the client until it repeats its request; the call holds the answer, and everything else is dropped. */
     static final class DisconnectedClient implements ClientPort {
 
         private final String clientKey;
-        private Optional<byte[]> heldAnswer = Optional.empty();
 
         private DisconnectedClient(ClientPort lost) {
             clientKey = lost.clientKey();
         }
 
         @Override
-        public void answer(String callId, byte[] description) {
-            heldAnswer = Optional.of(description);
-        }
+        public void answer(String callId, byte[] description) {}
 
         @Override
         public void reject(String callId, Duration retryAfter) {}
@@ -39,6 +37,11 @@
         @Override
         public void release(String callId, Outcome outcome) {}
 
+        @Override
+        public boolean repeatsRequests() {
+            return true;
+        }
+
         @Override
         public String clientKey() {
             return clientKey;
@@ -58,7 +61,7 @@
         this.established = established;
     }
 
-    /** Keeps a call with an attempt in flight for its client, whose connection has ended. */
+    /** Keeps a call, in flight or with an unsent answer, for its client, whose connection has ended. */
     void connectionLost(Call call) {
         CallTrace.step(call.id(), "its client's connection is lost, the attempt goes on");
         DisconnectedClient disconnected = new DisconnectedClient(call.client());
@@ -79,21 +82,24 @@
 
     /** Handles the same request from the same client over another connection; returns false if it is not the same. */
     boolean resubmit(CallRequest request, ClientPort client) {
-        Optional<Call> known = context.calls().find(request.id())
-                .filter(call -> !call.isEstablished() || !call.isClientConnected())
+        Optional<Call> known = context.calls().find(request.id()).filter(ClientFailover::awaitsAnswer)
                 .filter(call -> client.isSameClient(call.client()))
                 .filter(call -> Arrays.equals(call.request().payload(), request.payload()));
         known.ifPresent(call -> takeOver(call, client));
         return known.isPresent();
     }
 
+    private static boolean awaitsAnswer(Call call) {
+        return !call.isEstablished() || !call.isClientConnected() || call.heldAnswer().isPresent();
+    }
+
     private void takeOver(Call call, ClientPort client) {
         ClientPort previous = call.client();
         CallTrace.step(call.id(), "requested again by its client over another connection");
         context.calls().moveTo(call, client);
-        previous.superseded(call.id());
-        if (previous instanceof DisconnectedClient disconnected) {
-            disconnected.heldAnswer.ifPresent(description -> client.answer(call.id(), description));
+        if (previous != client) {
+            previous.superseded(call.id());
         }
+        call.heldAnswer().ifPresent(answer -> client.answer(call.id(), answer));
     }
 }
--- a/core/src/main/java/pathlane/core/EstablishedCalls.java
+++ b/core/src/main/java/pathlane/core/EstablishedCalls.java
@@ -27,6 +27,15 @@
         this.attempts = attempts;
     }
 
+    /** Handles an event of a call. */
+    void handle(Call call, CallEvent event) {
+        if (event instanceof CallEvent.Released released) {
+            release(call, released.content());
+        } else if (event instanceof CallEvent.Ended ended) {
+            end(call, ended.outcome());
+        }
+    }
+
     /** Releases a call for its client; the content is for its server. */
     void release(Call call, byte[] content) {
         String id = call.id();
--- a/core/src/main/java/pathlane/core/ServerPort.java
+++ b/core/src/main/java/pathlane/core/ServerPort.java
@@ -29,7 +29,7 @@
         release(callId, Outcome.COMPLETED, content);
     }
 
-    /** Forwards a client's message within an established call, and the reply to it; returns false if it can't be sent now. */
+    /** Forwards a client's message within an established call, and its reply back; returns false if it can't be sent now. */
     default boolean forward(String callId, byte[] content, ClientPort from) {
         return false;
     }
--- a/daemon/src/main/java/pathlane/diameter/ClientPeer.java
+++ b/daemon/src/main/java/pathlane/diameter/ClientPeer.java
@@ -228,9 +228,25 @@
             unansweredRequests.clear();
             unansweredUpdates.clear();
             controller.clientDisconnected(this);
+            closedSession.unsentMessages().forEach(this::handleUnsent);
         }
     }
 
+    /** Handles a message that was not sent: an answer is held for the client, an abort is sent on another connection. */
+    private void handleUnsent(DiameterMessage unsent) {
+        if (unsent.command() == DiameterMessage.ABORT_SESSION && unsent.isRequest()) {
+            controller.deliverRelease(unsent.require(Avp.SESSION_ID).text(), this, Outcome.RESET);
+        } else if (unsent.command() == DiameterMessage.CREDIT_CONTROL && unsent.find(Avp.SESSION_ID) != null
+                && isOfType(unsent, INITIAL)) {
+            controller.answerUnsent(unsent.require(Avp.SESSION_ID).text(), this);
+        }
+    }
+
+    private static boolean isOfType(DiameterMessage message, int requestType) {
+        Avp type = message.find(Avp.CC_REQUEST_TYPE);
+        return type != null && type.number() == requestType;
+    }
+
     /** Disconnects from the client gracefully. */
     void disconnect() {
         if (session != null) {
--- a/daemon/src/main/java/pathlane/diameter/PeerSession.java
+++ b/daemon/src/main/java/pathlane/diameter/PeerSession.java
@@ -264,6 +264,12 @@
         send(baseRequest(DiameterMessage.DEVICE_WATCHDOG, List.of()));
     }
 
+    /** The messages that were not sent before the connection ended. */
+    List<DiameterMessage> unsentMessages() {
+        return connection == null ? List.of()
+                : connection.unsentMessages().stream().map(bytes -> DiameterMessage.read(ByteBuffer.wrap(bytes))).toList();
+    }
+
     /** Requests a graceful disconnect; the connection is closed when the peer answers. */
     void disconnect() {
         if (state == State.OPEN) {
--- a/daemon/src/test/java/pathlane/exchange/ExchangeHarness.java
+++ b/daemon/src/test/java/pathlane/exchange/ExchangeHarness.java
@@ -13,6 +13,7 @@
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.HexFormat;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.PriorityQueue;
@@ -117,6 +118,11 @@
             return blocked;
         }
 
+        @Override
+        public List<byte[]> unsentMessages() {
+            return blocked ? List.copyOf(written) : List.of();
+        }
+
         @Override
         public String remote() {
             return "harness";
