Diameter: a termination that is lost with its connection is repeated on the next one

A client was told 2001 for its termination, the connection to the server broke before the server had read it, and the session stayed established there.

Cause: ServerPeer forgot a termination once it was written; the platform's front repeats a release that may not have been read.

Change: UnconfirmedReleases is in the core and serves both fronts. PendingTerminations keeps what waits for a connection or an answer, and repeats unanswered requests on the next connection with the T flag.

--- a/daemon/src/main/java/pathlane/diameter/ServerPeer.java
+++ b/daemon/src/main/java/pathlane/diameter/ServerPeer.java
@@ -7,7 +7,6 @@
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -40,8 +39,6 @@
     /** How long to wait for the late answer to a cancelled request before its session is terminated without one. */
     private static final Duration MAX_LATE_ANSWER_WAIT = Duration.ofSeconds(60);
     private static final String SESSION_ID_SEPARATOR = ";";
-    /** Maximum number of termination requests that wait for a connection. */
-    private static final int MAX_WAITING_TERMINATIONS = 10_000;
 
     private final DiameterConfig.Peer config;
     private final LocalNode local;
@@ -55,7 +52,7 @@
     private final Map<Integer, String> unansweredCalls = new HashMap<>();
     /** Initial requests by call, of sessions that are being opened or may be open at this peer. */
     private final Map<String, DiameterMessage> initialRequests = new HashMap<>();
-    private final Map<String, DiameterMessage> waitingTerminations = new LinkedHashMap<>();
+    private final PendingTerminations terminations;
     /** Hop-by-hop ids of unanswered initial requests that were cancelled. */
     private final Set<Integer> cancelledIds = new HashSet<>();
     /** Receivers of the answers to forwarded update requests by hop-by-hop id. */
@@ -73,6 +70,7 @@
         this.random = random;
         this.onAvailabilityChange = onAvailabilityChange;
         this.watchdog = new Watchdog(watchdogInterval, scheduler, random, this);
+        this.terminations = new PendingTerminations(scheduler, this::forwardRequest);
         this.recovery = new PeerRecovery(config, controller, scheduler, random, this::attemptOpen);
         attemptOpen();
         watchdog.start();
@@ -162,15 +160,15 @@
     /** Sends a termination request now, or on the next connection. */
     private void terminate(String call, DiameterMessage termination) {
         if (session != null && session.isOpen()) {
-            forwardRequest(termination);
-        } else if (waitingTerminations.size() < MAX_WAITING_TERMINATIONS) {
-            waitingTerminations.put(call, termination);
+            terminations.send(call, termination);
+        } else {
+            terminations.await(call, termination);
         }
     }
 
     @Override
     public Optional<byte[]> pendingReleaseToken(String call) {
-        return Optional.ofNullable(waitingTerminations.get(call)).map(SessionTermination::releaseToken);
+        return terminations.waitingFor(call).map(SessionTermination::releaseToken);
     }
 
     @Override
@@ -237,10 +235,7 @@
         if (recovery.opened(openedSession.originStateId())) {
             endLostSessions();
         }
-        List<String> waitingCalls = List.copyOf(waitingTerminations.keySet());
-        waitingTerminations.values().forEach(this::forwardRequest);
-        waitingTerminations.clear();
-        waitingCalls.forEach(call -> controller.get().releaseSent(call));
+        terminations.connected().forEach(call -> controller.get().releaseSent(call));
         watchdog.connectionUp();
     }
 
@@ -248,9 +243,7 @@
     private void endLostSessions() {
         LOG.log(Level.WARNING, "peer {0} has restarted and lost its sessions", config.host());
         initialRequests.clear();
-        List<String> terminated = List.copyOf(waitingTerminations.keySet());
-        waitingTerminations.clear();
-        terminated.forEach(controller.get()::releaseSent);
+        terminations.drop().forEach(call -> controller.get().releaseSent(call));
         controller.get().serverLost(config.id(), true);
     }
 
@@ -288,7 +281,8 @@
             if (receiver != null) {
                 receiver.accept(answer);
             }
-            return;   // otherwise the answer to a termination request or to an unknown one
+            terminations.answered(answer.hopByHop());
+            return;
         }
         int result = answer.find(Avp.RESULT_CODE) == null ? ResultCode.UNABLE_TO_COMPLY
                 : answer.find(Avp.RESULT_CODE).number();
@@ -318,6 +312,7 @@
         session = null;
         LOG.log(Level.INFO, "peer {0} is DOWN: {1}", config.host(), reason);
         watchdog.connectionDown();
+        terminations.disconnected();
         List<String> failedCalls = List.copyOf(unansweredCalls.values());
         unansweredCalls.clear();
         cancelledIds.clear();
@@ -326,13 +321,13 @@
             // The request may have been processed: a session that it may have opened is terminated on the next
             // connection before any new request is sent there.
             DiameterMessage initialRequest = initialRequests.remove(call);
-            if (initialRequest != null && waitingTerminations.size() < MAX_WAITING_TERMINATIONS) {
-                waitingTerminations.put(call, termination(initialRequest));
+            if (initialRequest != null) {
+                terminations.await(call, termination(initialRequest));
             }
             controller.get().serverReleased(config.id(), call, reason.outcome(), Duration.ZERO);
         }
         recovery.closed(reason);
-        if (controller.get().hasEstablishedCallsAt(config.id()) || !waitingTerminations.isEmpty()) {
+        if (controller.get().hasEstablishedCallsAt(config.id()) || terminations.isAnyWaiting()) {
             recovery.reconnectSoon();
         }
     }
--- a/daemon/src/main/java/pathlane/platform/ServerSession.java
+++ b/daemon/src/main/java/pathlane/platform/ServerSession.java
@@ -12,6 +12,7 @@
 import pathlane.config.file.ServerLimits;
 import pathlane.core.CloseReason;
 import pathlane.core.Scheduler;
+import pathlane.core.UnconfirmedReleases;
 import pathlane.decision.Outcome;
 import pathlane.transport.Connection;
 import pathlane.transport.FrameDeadline;
@@ -48,7 +49,7 @@
     private final Map<String, SentMessage> sentRequests = new LinkedHashMap<>();
     /** When each attempt was cancelled on this connection about which the server has sent nothing since, by call id. */
     private final Map<String, Instant> cancelledAt = new LinkedHashMap<>();
-    private final UnconfirmedReleases unconfirmedReleases;
+    private final UnconfirmedReleases<byte[]> unconfirmedReleases;
     private final ReportIntervals reportIntervals;
     private final OvertakenCheck overtakenCheck;
     private Connection connection;
@@ -69,7 +70,7 @@
         this.idleTimeout = context.idleTimeout();
         this.longestDeadline = context.settings().longestDeadline();
         this.frameDeadline = new FrameDeadline(scheduler, limits.messageTimeout(), () -> close(CloseReason.UNFINISHED));
-        this.unconfirmedReleases = new UnconfirmedReleases(limits.maxWaitingReleases());
+        this.unconfirmedReleases = new UnconfirmedReleases<>(limits.maxWaitingReleases());
         this.reportIntervals = new ReportIntervals(context.reportPeriod());
         this.overtakenCheck = new OvertakenCheck(context, link.outstanding(), () -> lastReceived, this::closeAsOvertaken);
     }
@@ -191,7 +192,7 @@
 
     /** Releases a call; if nothing more is received before the connection ends, the release is repeated on the next one. */
     void release(String callId, byte[] bytes) {
-        unconfirmedReleases.add(callId, new SentMessage(scheduler.now(), bytes));
+        unconfirmedReleases.add(callId, bytes, scheduler.now());
         write(bytes);
     }
 
@@ -281,7 +282,7 @@
 
     private void handle(Message message) {
         lastReceived = scheduler.now();
-        unconfirmedReleases.confirm(lastReceived.minus(limits.firstReportTimeout()));
+        unconfirmedReleases.confirmSentBefore(lastReceived.minus(limits.firstReportTimeout()));
         switch (message.type) {
             case Message.ANSWER -> handleAnswer(message.id(), message.value(Message.DESCRIPTION));
             case Message.RELEASE -> handleRelease(message.id(), message);
@@ -381,7 +382,7 @@
     }
 
     /** The releases that the server may not have read. */
-    UnconfirmedReleases unconfirmedReleases() {
+    UnconfirmedReleases<byte[]> unconfirmedReleases() {
         return unconfirmedReleases;
     }
 
