A connection is aborted as unread only for what its socket has refused

After a stall of 1 s the call controller closed a client's connection on which the client read all the time; about 190 accepted call requests were never answered.

Cause: what is written in one turn of the event loop is queued until its end, and the queue counted as unsent: twelve answers of 11,000 bytes exceeded 128 KiB before anything had been offered to the socket.

Change: where the limit is exceeded the queue is flushed first, and only what the socket then refuses counts. This holds for clients and servers alike; the bound on a connection's memory stays.

--- a/daemon/src/test/java/pathlane/crossings/WriteCancellationTest.java
+++ b/daemon/src/test/java/pathlane/crossings/WriteCancellationTest.java
@@ -26,6 +26,8 @@
     private static final int RECEIVE_BUFFER_BYTES = 4096;
     private static final int MESSAGE_BYTES = 15_000;
     private static final int MAX_MESSAGES = 2_000;
+    /** Together a multiple of what may be unsent on one connection. */
+    private static final int BURST_MESSAGES = 20;
 
     /** Publishes the opening and the closing of a connection as futures. */
     private static final class ObservedProtocol implements Protocol {
@@ -86,6 +88,42 @@
         }
     }
 
+    /** Guards against the abort of a connection for what is written in one turn and was never offered to the socket. */
+    @Test
+    void aBurstInOneTurnReachesAPeerThatReads() throws Exception {
+        try (ServerSocket listening = Peer.server()) {
+            ObservedProtocol observed = connect(listening);
+            try (Peer peer = Peer.at(listening)) {
+                onEventLoop(observed, connection -> {
+                    for (int i = 0; i < BURST_MESSAGES; i++) {
+                        connection.write(new Message(Message.PROGRESS, i).with(1, new byte[MESSAGE_BYTES]).bytes());
+                    }
+                    return null;
+                });
+                for (int i = 0; i < BURST_MESSAGES; i++) {
+                    peer.next(Message.PROGRESS, i);
+                }
+            }
+        }
+    }
+
+    @Test
+    void aConnectionWhosePeerReadsNothingIsAborted() throws Exception {
+        try (ServerSocket listening = Peer.server()) {
+            listening.setReceiveBufferSize(RECEIVE_BUFFER_BYTES);
+            ObservedProtocol observed = connect(listening);
+            try (Peer peer = Peer.at(listening)) {
+                onEventLoop(observed, connection -> {
+                    for (int i = 0; i < MAX_MESSAGES && !observed.closed.isDone(); i++) {
+                        connection.write(new Message(Message.PROGRESS, i).with(1, new byte[MESSAGE_BYTES]).bytes());
+                    }
+                    return null;
+                });
+                assertEquals(CloseReason.OVERFLOW, observed.closed.get(20, TimeUnit.SECONDS));
+            }
+        }
+    }
+
     @Test
     void aFlushedMessageIsSentWithinTheEventLoopTurn() throws Exception {
         try (ServerSocket listening = Peer.server()) {
--- a/net/src/main/java/pathlane/net/NettyConnection.java
+++ b/net/src/main/java/pathlane/net/NettyConnection.java
@@ -38,7 +38,7 @@
 
     private final Protocol protocol;
     private final RateLimitedLog log;
-    /** The connection is aborted when more than this is unsent: the remote side has stopped reading. */
+    /** The connection is aborted when more than this is unsent after a flush: the remote side has stopped reading. */
     private final long maxUnsentBytes;
     private final ArrayDeque<byte[]> queue = new ArrayDeque<>();
     private long queueBytes;
@@ -122,6 +122,14 @@
                 flush();
             }));
         }
+        if (unsentBytes() > maxUnsentBytes) {
+            flush();
+            abortIfUnread();
+        }
+    }
+
+    /** Aborts if the socket has refused too much. What was not offered to it yet says nothing about the remote side. */
+    private void abortIfUnread() {
         if (unsentBytes() > maxUnsentBytes) {
             abort(CloseReason.OVERFLOW);
         }
