--- a/core/src/main/java/pathlane/core/AttemptManager.java
+++ b/core/src/main/java/pathlane/core/AttemptManager.java
@@ -120,7 +120,7 @@
      * whether the client has read it when its connection ends can't be known.
      */
     private void deliverAnswer(Call call, byte[] description) {
-        if (call.client().repeatsRequests()) {
+        if (call.client().repeatsRequests() || !call.isClientConnected()) {
             call.holdAnswer(description);
             Duration remaining = Duration.between(context.scheduler().now(), call.deadline());
             context.scheduler().after(remaining.isNegative() ? Duration.ZERO : remaining, call::dropHeldAnswer);
--- a/core/src/main/java/pathlane/core/Call.java
+++ b/core/src/main/java/pathlane/core/Call.java
@@ -152,7 +152,7 @@
 
     /** Returns whether the answer can be sent; if not, the client may come back for it. */
     boolean isClientConnected() {
-        return !(client instanceof ClientFailover.DisconnectedClient);
+        return !(client instanceof NamedClient);
     }
 
     /** Returns whether a server has answered the call. */
--- a/core/src/main/java/pathlane/core/ClientFailover.java
+++ b/core/src/main/java/pathlane/core/ClientFailover.java
@@ -3,7 +3,6 @@
 import java.time.Duration;
 import java.util.Arrays;
 import java.util.Optional;
-import pathlane.decision.Outcome;
 
 /**
  * Keeps calls for clients that send their unanswered requests again over another connection when one is lost (RFC 6733,
@@ -16,43 +15,6 @@
 
     private static final byte[] NO_CONTENT = {};
 
-    /** Stands for the client until it repeats its request; the call holds the answer, and everything else is dropped. */
-    static final class DisconnectedClient implements ClientPort {
-
-        private final String clientKey;
-
-        private DisconnectedClient(ClientPort lost) {
-            clientKey = lost.clientKey();
-        }
-
-        @Override
-        public void answer(String callId, byte[] description) {}
-
-        @Override
-        public void reject(String callId, Duration retryAfter) {}
-
-        @Override
-        public void fail(String callId) {}
-
-        @Override
-        public void release(String callId, Outcome outcome) {}
-
-        @Override
-        public boolean repeatsRequests() {
-            return true;
-        }
-
-        @Override
-        public String clientKey() {
-            return clientKey;
-        }
-
-        @Override
-        public boolean isSameClient(ClientPort other) {
-            return other.clientKey().equals(clientKey);
-        }
-    }
-
     private final ControllerContext context;
     private final EstablishedCalls established;
 
@@ -64,7 +26,7 @@
     /** Keeps a call, in flight or with an unsent answer, for its client, whose connection has ended. */
     void connectionLost(Call call) {
         CallTrace.step(call.id(), "its client's connection is lost, the attempt goes on");
-        DisconnectedClient disconnected = new DisconnectedClient(call.client());
+        NamedClient disconnected = new NamedClient(call.client().clientKey());
         context.calls().moveTo(call, disconnected);
         Duration remaining = Duration.between(context.scheduler().now(), call.deadline());
         context.scheduler().after(remaining.isNegative() ? Duration.ZERO : remaining,
@@ -72,7 +34,7 @@
     }
 
     /** Releases a call that was established for a client that has not repeated its request by the deadline. */
-    private void releaseUnclaimed(Call call, DisconnectedClient disconnected) {
+    private void releaseUnclaimed(Call call, NamedClient disconnected) {
         boolean isUnclaimed = call.isEstablished() && call.client() == disconnected;
         if (isUnclaimed && context.calls().find(call.id()).filter(known -> known == call).isPresent()) {
             CallTrace.step(call.id(), "released, since its client has not come back");
--- a/core/src/test/java/pathlane/core/LateAnswerTest.java
+++ b/core/src/test/java/pathlane/core/LateAnswerTest.java
@@ -20,28 +20,6 @@
 
     private final List<String> received = new ArrayList<>();
 
-    private final class RecordingClient implements ClientPort {
-        @Override
-        public void answer(String callId, byte[] description) {
-            received.add("answer " + callId);
-        }
-
-        @Override
-        public void reject(String callId, Duration retryAfter) {
-            received.add("reject " + callId);
-        }
-
-        @Override
-        public void fail(String callId) {
-            received.add("fail " + callId);
-        }
-
-        @Override
-        public void release(String callId, Outcome outcome) {
-            received.add("release " + callId);
-        }
-    }
-
     private final class RecordingServerPort implements ServerPort {
         @Override
         public void sendRequest(CallRequest request, Duration timeout, boolean mayHaveRun) {
@@ -70,7 +48,7 @@
                 Duration.ofMillis(500), DEADLINE, Duration.ZERO, Optional.empty());
         CallController controller =
                 new CallController(settings, 7, new FrozenScheduler(), endpoint -> new RecordingServerPort());
-        RecordingClient client = new RecordingClient();
+        RecordingClient client = new RecordingClient(received);
         controller.clientConnected(client);
         controller.updateServers(true,
                 List.of(new ServerEndpoint(1, new InetSocketAddress("127.0.0.1", 1), ServerStatus.RUNNING, 0, 1,
--- a/core/src/test/java/pathlane/core/UnsendableRequestTest.java
+++ b/core/src/test/java/pathlane/core/UnsendableRequestTest.java
@@ -24,28 +24,6 @@
 
     private final List<String> received = new ArrayList<>();
 
-    private final class RecordingClient implements ClientPort {
-        @Override
-        public void answer(String callId, byte[] description) {
-            received.add("answer " + callId);
-        }
-
-        @Override
-        public void reject(String callId, Duration retryAfter) {
-            received.add("reject " + callId);
-        }
-
-        @Override
-        public void fail(String callId) {
-            received.add("fail " + callId);
-        }
-
-        @Override
-        public void release(String callId, Outcome outcome) {
-            received.add("release " + callId);
-        }
-    }
-
     private final class ThrowingServerPort implements ServerPort {
         @Override
         public void sendRequest(CallRequest request, Duration timeout, boolean mayHaveRun) {
@@ -79,7 +57,7 @@
                 Duration.ofMillis(500), DEADLINE, Duration.ZERO, Optional.empty());
         CallController controller =
                 new CallController(settings, 7, new FrozenScheduler(), endpoint -> new ThrowingServerPort());
-        RecordingClient client = new RecordingClient();
+        RecordingClient client = new RecordingClient(received);
         controller.clientConnected(client);
         // All of them wait for a server and are decided together when the list brings one.
         List.of("first", UNSENDABLE, "last").forEach(
