--- a/core/src/main/java/pathlane/core/Call.java
+++ b/core/src/main/java/pathlane/core/Call.java
@@ -37,6 +37,7 @@
     private int attempts;
     private Instant notBefore = Instant.MIN;
     private boolean mayHaveRun;
+    private boolean isClientConnected = true;
     private Optional<byte[]> heldAnswer = Optional.empty();
 
     private Call(Service service, CallRequest request, Instant deadline, ClientPort client, State state) {
@@ -103,6 +104,12 @@
     /** Sends the answer to another connection of the same client from now on. */
     void moveTo(ClientPort newClient) {
         client = newClient;
+        isClientConnected = true;
+    }
+
+    /** Records that the client has no connection: the answer can't be sent until the client comes back for it. */
+    void clientDisconnected() {
+        isClientConnected = false;
     }
 
     /** Keeps the answer that was sent, in case that the client has not read it and repeats its request. */
@@ -152,7 +159,7 @@
 
     /** Returns whether the answer can be sent; if not, the client may come back for it. */
     boolean isClientConnected() {
-        return !(client instanceof NamedClient);
+        return isClientConnected;
     }
 
     /** Returns whether a server has answered the call. */
--- a/core/src/main/java/pathlane/core/ClientFailover.java
+++ b/core/src/main/java/pathlane/core/ClientFailover.java
@@ -28,6 +28,7 @@
         CallTrace.step(call.id(), "its client's connection is lost, the attempt goes on");
         NamedClient disconnected = new NamedClient(call.client().clientKey());
         context.calls().moveTo(call, disconnected);
+        call.clientDisconnected();
         Duration remaining = Duration.between(context.scheduler().now(), call.deadline());
         context.scheduler().after(remaining.isNegative() ? Duration.ZERO : remaining,
                 () -> releaseUnclaimed(call, disconnected));
